--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -152,7 +152,10 @@
     Config c;
     c.name = told("BALANCER_NAME", "name");
     c.listen = address(told("BALANCER_LISTEN", "listen"), "BALANCER_LISTEN");
-    c.discovery = address(told("BALANCER_DISCOVERY", "discovery"), "BALANCER_DISCOVERY");
+    // Discovery moves while the sender runs, and then only the file is written anew: a variable would name the
+    // old place, at a reload as at the restart after one.
+    const auto moved = word(*root, "discovery", "");
+    c.discovery = address(moved.empty() ? told("BALANCER_DISCOVERY", "discovery") : moved, "discovery");
     c.state = told("BALANCER_STATE", "state");
     if (c.state.empty()) bad("BALANCER_STATE names no folder");
     const auto seed = word(*root, "seed", "0");
@@ -160,6 +163,8 @@
     if (error != std::errc{} || end != seed.data() + seed.size()) bad("the seed is not a hexadecimal number");
     const auto& limits = member(*root, "limits");
     c.sockets = static_cast<std::size_t>(count(limits, "sockets", 1024, 32));
+    c.memoryMb = static_cast<std::size_t>(std::max(16.0, number(limits, "memory_mb", 192)));
+    c.limitsText = limits.toStyledString();
     c.diskBytes = static_cast<std::uint64_t>(std::max(0.0, number(limits, "disk_mb", 3)) * 1e6);
     if (c.diskBytes < 65536) bad("limits: disk_mb is too little");
     const auto& known = member(*root, "known");
@@ -171,6 +176,7 @@
     const auto& set = member(*root, "settings");
     if (!set.isObject()) bad("the settings are missing");
     c.settings = settings(set);
+    c.settingsText = set.toStyledString();
     try {
         stoathub::Sender(c.settings, 0);
     } catch (const std::invalid_argument& e) {
@@ -183,6 +189,30 @@
     return c;
 }
 
+// Clients hold at most a third of the descriptors for requests; whatever else connects needs room beside them,
+// or it would keep them out.
+Shares shares(const Config& config) {
+    constexpr std::size_t kAside = 48;
+    Shares s;
+    s.calls = std::min<std::size_t>(static_cast<std::size_t>(config.settings.slots), config.sockets / 3);
+    s.idle = std::min(2 * s.calls, config.sockets / 8);
+    const auto taken = kAside + s.calls + s.idle;
+    // A connection may have a whole body in memory, and a thread: some 100 KB at the most.
+    const auto fit = std::max<std::size_t>(16, config.memoryMb * 5);
+    s.clients = std::min(std::max(config.sockets / 4, config.sockets - std::min(config.sockets, taken)), fit);
+    return s;
+}
+
+std::vector<std::string> needRestart(const Config& running, const Config& fresh) {
+    std::vector<std::string> changed;
+    if (fresh.name != running.name) changed.push_back("name");
+    if (fresh.listen.text != running.listen.text) changed.push_back("listen");
+    if (fresh.state != running.state) changed.push_back("state");
+    if (fresh.limitsText != running.limitsText) changed.push_back("limits");
+    if (fresh.settingsText != running.settingsText) changed.push_back("settings");
+    return changed;
+}
+
 Config fromEnvironment() {
     std::map<std::string, std::string> environment;
     for (const char* name :
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -23,13 +23,24 @@
     net::Address listen, discovery;
     std::string state;  ///< the folder that lasts
     std::uint64_t seed = 0;
-    std::size_t sockets = 1024;
+    std::size_t sockets = 1024, memoryMb = 192;
     std::uint64_t diskBytes = 0;
     listing::Listing known;
     stoathub::Settings settings;
     std::vector<std::string> classes, tenants, kinds, zones;  ///< names, by position
+    std::string limitsText, settingsText;                     ///< as the file has them, to compare
 };
 
+/// Descriptors, by who may hold them at most; a few more are kept aside for the listener, the store, the
+/// watch, the notices and connections on their way out.
+struct Shares {
+    std::size_t clients = 0, calls = 0, idle = 0;
+};
+Shares shares(const Config& config);
+
+/// Names of what differs and holds only from the next start on; discovery alone is taken over while running.
+std::vector<std::string> needRestart(const Config& running, const Config& fresh);
+
 /// Throws Bad.
 Config fromEnvironment();
 Config fromText(const std::string& json, const std::map<std::string, std::string>& environment);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,16 +1,20 @@
 // laurelhaven: sub-commands, wiring and signals.
 #include <getopt.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
+#include <functional>
 #include <iostream>
 #include <string>
 
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
 #include "delivery/delivery.hpp"
+#include "discovery/discovery.hpp"
 #include "front/front.hpp"
 #include "log/log.hpp"
 #include "notices/notices.hpp"
@@ -26,7 +30,7 @@
 constexpr const char* kVersion = "laurelhaven 0.1.0";
 constexpr const char* kUsage =
     "usage: laurelhaven [--log-level LEVEL] COMMAND\n"
-    "  serve         run the sender, as the BALANCER_ variables say\n"
+    "  serve         run the sender, as the BALANCER_ variables say; SIGHUP reads the configuration anew\n"
     "  check-config  read the configuration, say what it holds, and start nothing\n"
     "  version       print the version\n"
     "  help          print this\n"
@@ -47,21 +51,51 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
-/// True when one of our signals comes within that time.
-bool signalWithin(milliseconds span) {
+/// Reads the configuration anew. One that is bad changes nothing.
+void reload(const config::Config& running, discovery::Discovery& discovery) {
+    try {
+        const auto fresh = config::fromEnvironment();
+        const bool moved = discovery.moveTo(fresh.discovery);
+        log::info() << "configuration read anew, discovery " << (moved ? "now" : "still") << " at "
+                    << fresh.discovery.text;
+        for (const auto& part : config::needRestart(running, fresh))
+            log::warning() << "configuration: the new " << part << " holds from the next start on";
+    } catch (const std::exception& e) {
+        log::error() << "the new configuration is not taken over: " << e.what();
+    }
+}
+
+/// True when a signal to stop comes within that time; one to reload is carried out meanwhile.
+bool stopWithin(milliseconds span, const std::function<void()>& reloadNow) {
     const auto set = ourSignals();
-    const timespec time{span.count() / 1000, (span.count() % 1000) * 1000000};
-    return sigtimedwait(&set, nullptr, &time) > 0;
+    const auto until = std::chrono::steady_clock::now() + span;
+    for (auto left = span; left.count() >= 0;
+         left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now())) {
+        const timespec time{left.count() / 1000, (left.count() % 1000) * 1000000};
+        const int signal = sigtimedwait(&set, nullptr, &time);
+        if (signal == SIGHUP) reloadNow();
+        else if (signal > 0) return true;
+        else if (errno == EAGAIN) return false;
+    }
+    return false;
 }
 
-int serve(const config::Config& config) {
-    // Before any thread begins: all of them leave these signals to this one.
+int serve() {
+    // Before the configuration is read and any thread begins: none of these signals ends the program, and all
+    // threads leave them to this one.
     const auto set = ourSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    // Danger: with an arena for each of many threads, memory that one has freed is of no use to the next, and
+    // the process grows for as long as threads come and go.
+    mallopt(M_ARENA_MAX, 2);
+    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+    mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+    const auto config = config::fromEnvironment();
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
         files.rlim_cur = std::min<rlim_t>(files.rlim_max, config.sockets);
@@ -72,14 +106,15 @@
     const auto recovered = store.recover();
     decisions::Decisions* facade = nullptr;
     delivery::Delivery* calls = nullptr;
-    notices::Notices notices(config.discovery, [&](const auto& ids) { facade->report(ids); });
+    discovery::Discovery discovery(config.discovery);
+    notices::Notices notices(discovery, [&](const auto& ids) { facade->report(ids); });
     decisions::Decisions decisions(config, store,
                                    {[&](const store::Owed& notice) { notices.add(notice); },
-                                    [&](const std::string& address) { calls->closeIdle(address); }});
+                                    [&](const std::string& endpoint) { calls->closeIdle(endpoint); }});
     delivery::Delivery delivery(config, decisions);
     facade = &decisions;
     calls = &delivery;
-    registry::Registry registry(config, decisions);
+    registry::Registry registry(discovery, config.known.index, decisions);
     front::Front front(config, decisions);
 
     decisions.report(config.known, true);
@@ -97,7 +132,10 @@
                 << recovered.messages.size() << " messages and " << recovered.notices.size()
                 << " notices from before";
 
-    while (!signalWithin(std::chrono::hours(1))) {
+    const auto stopIn = [&](milliseconds span) {
+        return stopWithin(span, [&] { reload(config, discovery); });
+    };
+    while (!stopIn(std::chrono::hours(1))) {
     }
     log::info() << "stopping, " << decisions.held() << " messages held";
     const auto begun = std::chrono::steady_clock::now();
@@ -108,11 +146,11 @@
         return since() > kLeastServeOn && front.connections() == 0 && decisions.held() == 0 &&
                notices.owed() == 0;
     };
-    while (!hurry && since() < kServeOn && !nothingLeft()) hurry = signalWithin(kLook);
+    while (!hurry && since() < kServeOn && !nothingLeft()) hurry = stopIn(kLook);
     front.stop();
     decisions.stopPicking();  // calls out may finish; those that have not begun are left to the next start
     while (!hurry && since() < kFinish && (decisions.out() > 0 || notices.owed() > 0))
-        hurry = signalWithin(kLook);
+        hurry = stopIn(kLook);
     decisions.stop();
     notices.stop();
     registry.stop();
@@ -146,7 +184,7 @@
     if (command == "help") return std::cout << kUsage, 0;
     if (command == "version") return std::cout << kVersion << '\n', 0;
     if (command == "check-config") return checkConfig(config::fromEnvironment());
-    if (command == "serve") return serve(config::fromEnvironment());
+    if (command == "serve") return serve();
     std::cerr << kUsage;
     return 2;
 }
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -63,7 +63,8 @@
                 ids.push_back(notice.id);
             }
         }
-        const Answer answer = post(body);
+        const auto place = discovery_.place();
+        const Answer answer = post(place, body);
         if (answer == Answer::unreadable && ids.size() > 1) {
             oneByOne_ = true;  // one bad line must not hold up the others
             continue;
@@ -78,28 +79,41 @@
             continue;
         }
         if (stopped.stop_requested()) return;
+        const std::stop_callback wake(place.left, [this] {
+            const std::lock_guard lock(mutex_);
+            wake_.notify_all();
+        });
         std::unique_lock lock(mutex_);
-        wake_.wait_for(lock, stopped, pause, [] { return false; });
-        pause = std::min(2 * pause, kLongestPause);
+        const bool moved = wake_.wait_for(lock, stopped, pause, [&] { return place.left.stop_requested(); });
+        pause = moved ? kFirstPause : std::min(2 * pause, kLongestPause);
     }
 }
 
-Notices::Answer Notices::post(const std::string& body) {
+// A notice whose answer was cut off by a move is told again at the new address: told twice does no harm.
+Notices::Answer Notices::post(const discovery::Place& place, const std::string& body) {
+    if (fd_ && (at_ != place.address.text || !net::quiet(fd_.get()))) fd_.reset();
+    const bool warm = static_cast<bool>(fd_);
+    if (!warm) fd_ = net::tcpSocket();
+    at_ = place.address.text;
+    bool keep = false;
+    const Answer answer = fd_ ? exchange(place, body, warm, keep) : Answer::none;
+    if (!keep) fd_.reset();  // only now, when a move can't shut it any more
+    return answer;
+}
+
+Notices::Answer Notices::exchange(const discovery::Place& place, const std::string& body, bool warm,
+                                  bool& keep) {
+    const int fd = fd_.get();
+    const std::stop_callback shutIt(place.left, [fd] { net::shut(fd); });
     const auto until = net::Steady::now() + kAnswer;
-    if (fd_ && !net::quiet(fd_.get())) fd_.reset();
-    if (!fd_) {
-        fd_ = net::tcpSocket();
-        if (!fd_ || !net::connectBy(fd_.get(), platform_, until)) return fd_.reset(), Answer::none;
-    }
-    const auto bytes = http::request("POST", "/v1/notices", platform_.text, {}, body);
+    if (!warm && !net::connectBy(fd, place.address, until)) return Answer::none;
+    if (net::sendAll(fd, http::request("POST", "/v1/notices", at_, {}, body), until) != net::Io::done)
+        return Answer::none;
     http::Parser parser(http::Parser::Role::response);
-    bool good = net::sendAll(fd_.get(), bytes, until) == net::Io::done;
-    for (std::string got; good && parser.state() != http::Parser::State::complete; got.clear()) {
-        good = net::receive(fd_.get(), got, until) == net::Io::done &&
-               parser.feed(got) != http::Parser::State::bad;
-    }
-    if (!good || !parser.message().keepsAlive()) fd_.reset();
-    if (!good) return Answer::none;
+    for (std::string got; parser.state() != http::Parser::State::complete; got.clear())
+        if (net::receive(fd, got, until) != net::Io::done || parser.feed(got) == http::Parser::State::bad)
+            return Answer::none;
+    keep = parser.message().keepsAlive();
     const int status = parser.message().status;
     if (status / 100 != 2) log::warning() << "notices: answered " << status;
     return status / 100 == 2 ? Answer::heard : status == 400 ? Answer::unreadable : Answer::none;
--- a/src/notices/notices.hpp
+++ b/src/notices/notices.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "discovery/discovery.hpp"
 #include "net/socket.hpp"
 #include "store/store.hpp"
 #include "threads/thread.hpp"
@@ -21,8 +22,8 @@
 class Notices {
   public:
     /// `heard` is told the ids that the platform has answered for.
-    Notices(net::Address platform, std::function<void(const std::vector<std::string>&)> heard)
-        : platform_(std::move(platform)), heard_(std::move(heard)) {}
+    Notices(const discovery::Discovery& discovery, std::function<void(const std::vector<std::string>&)> heard)
+        : discovery_(discovery), heard_(std::move(heard)) {}
     ~Notices() { stop(); }
     void start();
     void stop();
@@ -32,15 +33,17 @@
   private:
     enum class Answer { heard, unreadable, none };
     void run();
-    Answer post(const std::string& body);
+    Answer post(const discovery::Place& place, const std::string& body);
+    Answer exchange(const discovery::Place& place, const std::string& body, bool warm, bool& keep);
 
-    const net::Address platform_;
+    const discovery::Discovery& discovery_;
     std::function<void(const std::vector<std::string>&)> heard_;
     mutable std::mutex mutex_;
     std::condition_variable_any wake_;
     std::deque<store::Owed> queue_;
     bool oneByOne_ = false;
-    net::Fd fd_;  // used by the thread alone
+    net::Fd fd_;  // used by the thread alone, as the next
+    std::string at_;  // the address that it leads to
     std::stop_source stop_;
     threads::Thread thread_;
 };
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -49,9 +49,6 @@
     news(*list);
 }
 
-Registry::Registry(const config::Config& config, decisions::Decisions& decisions)
-    : config_(config), decisions_(decisions), index_(config.known.index) {}
-
 void Registry::start() {
     thread_ = threads::Thread("registry", [this] { run(); });
 }
@@ -65,24 +62,32 @@
     const auto stopped = stop_.get_token();
     auto pause = kFirstPause;
     while (!stopped.stop_requested()) {
-        pause = follow(stopped) ? kFirstPause : std::min(2 * pause, kLongestPause);
+        const auto place = discovery_.place();
+        pause = follow(place, stopped) ? kFirstPause : std::min(2 * pause, kLongestPause);
+        // A new address is asked at once, and with short pauses again: what it tells counts soon.
+        const std::stop_callback wake(place.left, [this] {
+            const std::lock_guard lock(mutex_);
+            wake_.notify_all();
+        });
         std::unique_lock lock(mutex_);
-        wake_.wait_for(lock, stopped, pause, [] { return false; });
+        if (wake_.wait_for(lock, stopped, pause, [&] { return place.left.stop_requested(); }))
+            pause = kFirstPause;
     }
 }
 
-bool Registry::follow(std::stop_token stopped) {
+bool Registry::follow(const discovery::Place& place, std::stop_token stopped) {
     net::Fd fd = net::tcpSocket();
     if (!fd) return false;
     const int raw = fd.get();
-    const std::stop_callback shutIt(stopped, [raw] { net::shut(raw); });
-    if (!net::connectBy(raw, config_.discovery, net::Steady::now() + kConnect)) return false;
+    const auto shut = [raw] { net::shut(raw); };
+    const std::stop_callback whenStopped(stopped, shut), whenLeft(place.left, shut);
+    if (!net::connectBy(raw, place.address, net::Steady::now() + kConnect)) return false;
     // Where a line was skipped, the changes since would not make the list good: ask for the whole one.
     const std::uint64_t after = gap_ ? 0 : index_;
     const auto target = gap_ ? std::string("/registry/instances")
                              : "/registry/instances?watch=1&after=" + std::to_string(after);
     const bool watch = !gap_;
-    const auto ask = http::request("GET", target, config_.discovery.text, {}, {});
+    const auto ask = http::request("GET", target, place.address.text, {}, {});
     if (net::sendAll(raw, ask, net::Steady::now() + kConnect) != net::Io::done) return false;
     http::Limits limits;
     limits.body = kLongestLine;
@@ -101,7 +106,7 @@
         message.body.clear();
         index_ = std::max(index_, lines.index());
     };
-    for (std::string got; !stopped.stop_requested(); got.clear()) {
+    for (std::string got; !stopped.stop_requested() && !place.left.stop_requested(); got.clear()) {
         const auto io = net::receive(raw, got, net::Steady::now() + kSilence);
         if (io != net::Io::done) break;
         const auto state = parser.feed(got);
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -9,8 +9,8 @@
 #include <string>
 #include <string_view>
 
-#include "config/config.hpp"
 #include "decisions/decisions.hpp"
+#include "discovery/discovery.hpp"
 #include "listing/listing.hpp"
 #include "net/socket.hpp"
 #include "threads/thread.hpp"
@@ -37,7 +37,9 @@
 
 class Registry {
   public:
-    Registry(const config::Config& config, decisions::Decisions& decisions);
+    /// `known`: the version of the list that the decisions have been told already.
+    Registry(const discovery::Discovery& discovery, std::uint64_t known, decisions::Decisions& decisions)
+        : discovery_(discovery), decisions_(decisions), index_(known) {}
     ~Registry() { stop(); }
     void start();
     void stop();
@@ -45,9 +47,9 @@
   private:
     void run();
     /// One connection, until it ends. True where a line came over it.
-    bool follow(std::stop_token stopped);
+    bool follow(const discovery::Place& place, std::stop_token stopped);
 
-    const config::Config& config_;
+    const discovery::Discovery& discovery_;
     decisions::Decisions& decisions_;
     std::uint64_t index_;
     bool gap_ = false;
--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -121,8 +121,7 @@
     Program(const std::string& folder, Platform& platform, const std::string& entries, int port = freePort(),
             const std::string& set = check::settings())
         : port_(port), folder_(folder) {
-        std::ofstream(folder + "/config.json")
-            << check::configuration(local(port), platform.stub.at(), entries, set);
+        configure(check::configuration(local(port), platform.stub.at(), entries, set));
         std::filesystem::create_directories(folder + "/state");
         start();
     }
@@ -134,9 +133,15 @@
         setenv("BALANCER_STATE", (folder_ + "/state").c_str(), 1);
         char program[] = PROGRAM, quiet[] = "--log-level=off", command[] = "serve";
         char* const words[] = {program, quiet, command, nullptr};
-        CHECK(posix_spawn(&pid_, program, nullptr, nullptr, words, environ) == 0);
+        // Its output goes nowhere: a test that fails leaves it running, and must not wait for it.
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        for (int fd = 0; fd < 3; ++fd) posix_spawn_file_actions_addopen(&files, fd, "/dev/null", O_RDWR, 0);
+        CHECK(posix_spawn(&pid_, program, &files, nullptr, words, environ) == 0);
+        posix_spawn_file_actions_destroy(&files);
         await([this] { return status("GET /health/ready HTTP/1.1\r\n\r\n") == 200; });
     }
+    void configure(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
     /// The exit status, or minus the signal that ended it.
     int end(int signal) {
         kill(pid_, signal);
@@ -163,6 +168,7 @@
         return parser.message().status;
     }
     pid_t pid() const { return pid_; }
+    int port() const { return port_; }
 
   private:
     int port_;
@@ -288,6 +294,53 @@
     CHECK(platform.of("short") == 1 && platform.notices.size() == 1 && delivered.size() == 6);
 }
 
+// A new address of discovery is taken up while running and kept by the restart after, though the environment
+// still names the old one; a configuration that is bad changes nothing.
+void reloadMovesDiscovery() {
+    const check::Folder folder;
+    Platform old, moved;
+    old.watch = "\n";  // one sign of life, then silence
+    std::multiset<std::string> delivered;
+    std::mutex mutex;
+    Stub endpoint([&](http::Message& m) {
+        const std::lock_guard lock(mutex);
+        delivered.insert(*m.headers.find("Req-Id"));
+        return answer(200);
+    });
+    Stub never([](http::Message&) { return std::string(); });
+    moved.watch = check::list(9, true, check::entry("b", endpoint.at(), 7)) + "\n";
+    const auto came = [&](const std::string& id) {
+        await([&] {
+            const std::lock_guard lock(mutex);
+            return delivered.count(id) == 1;
+        });
+    };
+    setenv("BALANCER_DISCOVERY", old.stub.at().c_str(), 1);
+    const auto entries = check::entry("a", never.at(), 7);
+    Program program(folder.path, old, entries);
+    CHECK(program.status(handIn("early", 300)) == 202);
+    await([&] { return old.of("early") > 0; });
+    program.configure("{nonsense");
+    CHECK(kill(program.pid(), SIGHUP) == 0);
+    CHECK(program.status(handIn("still", 300)) == 202);
+    await([&] { return old.of("still") > 0; });
+    CHECK(moved.notices.empty());
+    program.configure(check::configuration(local(program.port()), moved.stub.at(), entries));
+    CHECK(kill(program.pid(), SIGHUP) == 0);
+    CHECK(program.status(handIn("m1")) == 202);
+    came("m1");  // by the list of the new address, which alone names an endpoint that answers
+    CHECK(program.end(SIGKILL) == -SIGKILL);
+    old.deaf = 1000;
+    program.start();
+    CHECK(program.status(handIn("m2")) == 202);
+    came("m2");
+    kill(program.pid(), SIGTERM);
+    await([&] { return program.status("GET /health/ready HTTP/1.1\r\n\r\n") == 503; });
+    CHECK(kill(program.pid(), SIGHUP) == 0);  // no end of its own while stopping
+    CHECK(program.end(SIGTERM) == 0);
+    unsetenv("BALANCER_DISCOVERY");
+}
+
 // Connections that send nothing or half a request, more than are allowed, keep nobody out.
 void floodOfConnectionsIsSurvived() {
     const check::Folder folder;
@@ -328,6 +381,7 @@
     deliversAndRefusesBadInput();
     everyMessageEndsOnce();
     restartsLoseNothing();
+    reloadMovesDiscovery();
     floodOfConnectionsIsSurvived();
     badStartsExitTwo();
 }
