Answer bad clients strictly within the limits, and judge spoilt answers by their first line

Lines at fault: front.cpp read() took 2 s from the first byte only, 60 s for silence, and drained 100 ms; message.cpp let odd line ends, repeated lengths and bytes behind a request through; intake.cpp took any destination and no length; decisions.cpp answered 202 to any repeat of an open id and let its client withdraw another's message; delivery.cpp took 200 with a spoilt rest for an error, skipped one 1xx only, and idle.cpp kept connections by address. Descriptors are shared out from the limits, beyond them a 503 at once; unlisted destinations get 503.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -152,8 +152,8 @@
     Config c;
     c.name = told("BALANCER_NAME", "name");
     c.listen = address(told("BALANCER_LISTEN", "listen"), "BALANCER_LISTEN");
-    // Discovery moves while the sender runs, and then only the file is written anew: a variable would name the
-    // old place, at a reload as at the restart after one.
+    // Discovery moves while the sender runs, and then only the file is written anew: a variable would name
+    // the old place, at a reload as at the restart after one.
     const auto moved = word(*root, "discovery", "");
     c.discovery = address(moved.empty() ? told("BALANCER_DISCOVERY", "discovery") : moved, "discovery");
     c.state = told("BALANCER_STATE", "state");
@@ -189,8 +189,8 @@
     return c;
 }
 
-// Clients hold at most a third of the descriptors for requests; whatever else connects needs room beside them,
-// or it would keep them out.
+// Clients hold at most a third of the descriptors for requests; whatever else connects needs room beside
+// them, or it would keep them out.
 Shares shares(const Config& config) {
     constexpr std::size_t kAside = 48;
     Shares s;
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -16,6 +16,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kFullAfter{500};  // what a client is told when the hold or the store is full
+constexpr milliseconds kLate{50};
+constexpr milliseconds kUnknownAfter{1000};        // and when no endpoint of the destination is listed
+constexpr std::chrono::seconds kDestinations{60};  // so long a destination without endpoints stays one
 
 stoathub::Time moduleTime(Moment at) {
     return stoathub::Time(std::chrono::duration_cast<stoathub::Duration>(at.time_since_epoch()));
@@ -100,8 +103,20 @@
     const std::lock_guard lock(mutex_);
     const auto now = Steady::now();
     if (stopped_) return {Kind::refused, kFullAfter};
-    if (held_.count(message.id)) return {};  // the same request once more, on a new connection
+    if (const auto it = held_.find(message.id); it != held_.end()) {
+        // Danger: the id may come with another message, and either of the two first. Whoever is told that a
+        // message was taken on must be owed that very one; what is held goes on undisturbed.
+        const auto& in = it->second.in;
+        const bool same = in.key == message.key && in.destination == message.destination &&
+                          in.grade == message.grade && *in.body == *message.body;
+        if (!same || it->second.over) return {Kind::conflict, {}};
+        return {Kind::taken, {}, true};  // the same request once more, on a new connection
+    }
     if (message.deadline <= now) return {Kind::refused, {}};
+    // Danger: a message for no destination would be held in vain, and one entry for each number that anybody
+    // makes up would stay in the tables. The list comes seconds late, so the client may try again.
+    forget(now);
+    if (!destinations_.count(message.destination)) return {Kind::refused, kUnknownAfter};
     if (held_.size() >= static_cast<std::size_t>(config_.settings.maxHeld))
         return {Kind::refused, kFullAfter};
     store::Taken record;
@@ -170,7 +185,12 @@
     news.kind = saved        ? stoathub::ListKind::saved
                 : list.whole ? stoathub::ListKind::whole
                              : stoathub::ListKind::changes;
-    if (saved || list.whole) endpoints_.clear();
+    const auto now = Steady::now();
+    for (const auto& [name, seen] : endpoints_)
+        destinations_[seen.group] = now;  // until now, they were listed
+    std::map<std::string, Seen> before;
+    if (saved || list.whole) before.swap(endpoints_);
+    else before = endpoints_;
     for (const auto& e : list.endpoints) {
         stoathub::Endpoint entry;
         entry.id = e.name;
@@ -185,6 +205,13 @@
         if (e.status == listing::Status::deleted) endpoints_.erase(e.name);
         else endpoints_[e.name] = {e.address, e.group, e.status == listing::Status::serving};
     }
+    for (const auto& [name, seen] : endpoints_) destinations_[seen.group] = now;
+    for (const auto& [name, seen] : before) {  // nothing more goes there: its connections are of no use
+        const auto it = endpoints_.find(name);
+        const bool same = it != endpoints_.end() && it->second.serving && it->second.address == seen.address;
+        if (!same && hooks_.closeIdle) hooks_.closeIdle(name);
+    }
+    forget(now);
     turn({{std::move(news)}});
 }
 
@@ -238,12 +265,15 @@
 bool Decisions::tick() {
     std::unique_lock lock(mutex_);
     while (!stopped_) {
-        if (wakes_.empty()) {
+        if (!wakeAt_) {
             wake_.wait(lock);
-        } else if (const auto next = wakes_.top(); Steady::now() < next) {
+        } else if (const auto next = *wakeAt_; Steady::now() < next) {
             wake_.wait_until(lock, next);
         } else {
-            while (!wakes_.empty() && wakes_.top() <= Steady::now()) wakes_.pop();
+            // Whatever is decided on time counts for little where the machine holds the process up.
+            const auto late = std::chrono::duration_cast<milliseconds>(Steady::now() - next);
+            if (late > kLate) log::warning() << "woken " << late.count() << " ms late";
+            wakeAt_.reset();
             turn({{stoathub::Woken{}}});
             return true;
         }
@@ -251,12 +281,25 @@
     return false;
 }
 
+// The module waits for one time: it asks for a sooner one, or anew once the last has passed, and so each
+// takes the place of the one before. Keeping them all would turn the module for nothing.
 void Decisions::wakeAt(Moment at) {
-    const bool sooner = wakes_.empty() || at < wakes_.top();
-    wakes_.push(at);
+    const bool sooner = !wakeAt_ || at < *wakeAt_;
+    wakeAt_ = at;
     if (sooner) wake_.notify_one();
 }
 
+// Danger: destinations come and go for as long as the process lives. What has long been unlisted, and waits
+// that are over, are not kept.
+void Decisions::forget(Moment now) {
+    std::erase_if(destinations_, [&](const auto& entry) {
+        if (now - entry.second < kDestinations) return false;
+        return std::none_of(endpoints_.begin(), endpoints_.end(),
+                            [&](const auto& e) { return e.second.group == entry.first; });
+    });
+    std::erase_if(waits_, [&](const auto& entry) { return entry.second <= now; });
+}
+
 void Decisions::turn(const Events& events, Verdict* own, const std::string* ownId) {
     const auto now = Steady::now();
     for (const auto& action : sender_.turn(moduleTime(now), events.all)) {
@@ -297,8 +340,7 @@
         } else if (const auto* wake = std::get_if<stoathub::Wake>(&action)) {
             wakeAt(now + std::chrono::duration_cast<Steady::duration>(wake->after));
         } else if (const auto* close = std::get_if<stoathub::Close>(&action)) {
-            const auto seen = endpoints_.find(close->endpoint);
-            if (seen != endpoints_.end() && hooks_.closeIdle) hooks_.closeIdle(seen->second.address);
+            if (hooks_.closeIdle) hooks_.closeIdle(close->endpoint);
         }
         // Tell and Follow have no place on sockets: senders share nothing here, and the watch always runs.
     }
@@ -329,6 +371,10 @@
     wake_.notify_all();
 }
 
+Decisions::Counts Decisions::counts() const {
+    const std::lock_guard lock(mutex_);
+    return {held_.size(), endpoints_.size(), destinations_.size(), waits_.size()};
+}
 std::size_t Decisions::held() const {
     const std::lock_guard lock(mutex_);
     return held_.size();
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -10,7 +10,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <queue>
 #include <stop_token>
 #include <string>
 #include <unordered_map>
@@ -36,9 +35,10 @@
 
 /// What becomes of a hand-in. Only `taken` leaves anything owed.
 struct Verdict {
-    enum class Kind { taken, refused, failed };
+    enum class Kind { taken, refused, failed, conflict };  ///< conflict: the id is another message's
     Kind kind = Kind::taken;
     std::chrono::milliseconds after{};  ///< for refused: come again after so long
+    bool before = false;                ///< for taken: it was taken already, from an earlier hand-in
 };
 
 /// One call that is due.
@@ -72,7 +72,7 @@
 /// Both are called with the facade's lock held, and must not call back into it.
 struct Hooks {
     std::function<void(const store::Owed&)> ended;
-    std::function<void(const std::string& address)> closeIdle;
+    std::function<void(const std::string& endpoint)> closeIdle;
 };
 
 class Decisions {
@@ -94,6 +94,11 @@
     /// What an earlier life left unfinished.
     void restore(const std::vector<store::Taken>& messages);
 
+    struct Counts {  ///< entries, table by table
+        std::size_t held = 0, endpoints = 0, destinations = 0, waits = 0;
+    };
+    Counts counts() const;
+
     /// Blocks until the module wants to be woken, and turns it. False once stopped.
     bool tick();
 
@@ -123,6 +128,7 @@
     void turn(const struct Events& events, Verdict* own = nullptr, const std::string* ownId = nullptr);
     void conclude(const std::string& id, const store::Owed& notice);
     bool holds(const Held& held, const Call& call, Moment now) const;
+    void forget(Moment now);
     void wakeAt(Moment at);
 
     const config::Config& config_;
@@ -133,9 +139,10 @@
     stoathub::Sender sender_;
     std::unordered_map<std::string, Held> held_;
     std::map<std::string, Seen> endpoints_;
-    std::map<std::uint64_t, Moment> waits_;  // by destination: told to wait until then
-    std::deque<Call> calls_;                 // due, and not yet picked
-    std::priority_queue<Moment, std::vector<Moment>, std::greater<>> wakes_;
+    std::map<std::uint64_t, Moment> destinations_;  // when the list last named an endpoint of it
+    std::map<std::uint64_t, Moment> waits_;         // by destination: told to wait until then
+    std::deque<Call> calls_;                        // due, and not yet picked
+    std::optional<Moment> wakeAt_;                  // as the module asked for last
     std::size_t out_ = 0;
     bool picking_ = true, stopped_ = false;
     bool noRoom_ = false;  // the store took no message the last time
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -16,6 +16,11 @@
 // A connection is shut well before the endpoint's idle time ends: a request that crosses its close is a
 // reset.
 constexpr double kKeepShare = 0.9;
+// An answer comes in one piece, or nearly: what has not come so long after its first byte never will.
+constexpr milliseconds kRest{250};
+constexpr milliseconds kRestBetween{10};  // before a connection carries another call; see Idle
+constexpr std::size_t kMostAnswer =
+    128 * 1024;  // more bytes than any answer has, 1xx ones before it included
 
 std::optional<double> field(std::string_view report, std::string_view name) {
     for (const auto part : http::split(report, ",")) {
@@ -67,12 +72,13 @@
 Delivery::Delivery(const config::Config& config, decisions::Decisions& decisions)
     : config_(config),
       decisions_(decisions),
-      idle_(std::chrono::nanoseconds(static_cast<long>(config.settings.keepAlive.count() * kKeepShare)),
-            std::min<std::size_t>(config.sockets / 4, 2 * static_cast<std::size_t>(config.settings.slots))) {}
+      idle_(kRestBetween,
+            std::chrono::nanoseconds(static_cast<long>(config.settings.keepAlive.count() * kKeepShare)),
+            config::shares(config).idle) {}
 
 void Delivery::start() {
     threads_.emplace_back("idle", [this] { idle_.expire(); });
-    for (int i = 0; i < config_.settings.slots; ++i)
+    for (std::size_t i = 0; i < config::shares(config_).calls; ++i)
         threads_.emplace_back("call", [this] {
             while (const auto call = decisions_.pick()) {
                 const Result result = deliver(*call);
@@ -92,7 +98,7 @@
 Result Delivery::deliver(const Call& call) {
     const auto address = net::address(call.address);
     if (!address) return {};
-    net::Fd fd = idle_.take(call.address);
+    net::Fd fd = idle_.take(call.endpoint, call.address);
     for (;;) {
         const bool warm = static_cast<bool>(fd);
         bool keep = false;
@@ -100,7 +106,7 @@
         if (!fd) return {};  // no descriptor is to be had: that is not the partner's doing
         const Result result = attempt(call, *address, fd.get(), warm, keep);
         // Only now, when no call-off can shut it any more, may another call have the connection.
-        if (keep) idle_.give(call.address, std::move(fd));
+        if (keep) idle_.give(call.endpoint, call.address, std::move(fd));
         fd.reset();
         // Before the last byte the endpoint has not begun: a warm connection found dead is no failure yet.
         if (!warm || result.ending != Ending::noConnection || call.calledOff.stop_requested()) return result;
@@ -110,9 +116,6 @@
 Result Delivery::attempt(const Call& call, const net::Address& address, int fd, bool warm, bool& keep) {
     const std::stop_callback shutIt(call.calledOff, [fd] { net::shut(fd); });
     const auto ended = [](Ending ending) { return Result{ending, false, {}, {}, {}}; };
-    const auto off = [&](Ending otherwise) {
-        return ended(call.calledOff.stop_requested() ? Ending::cancelled : otherwise);
-    };
     if (!warm) {
         const auto until = std::min(call.until, net::Steady::now() + config_.settings.connectTimeout);
         if (!net::connectBy(fd, address, until))
@@ -122,32 +125,50 @@
         keep = !call.calledOff.stop_requested();
         return ended(Ending::notSent);
     }
+    // What came meanwhile on a connection that stood idle belongs to an earlier call.
+    if (warm && !net::quiet(fd)) return ended(Ending::noConnection);
     const auto left = std::chrono::ceil<milliseconds>(call.until - net::Steady::now()).count();
     http::Fields fields{{"Req-Id", call.id}, {"Req-Deadline-Ms", std::to_string(std::max<long>(left, 1))}};
     if (!call.key.empty()) fields.emplace_back("Idempotency-Key", call.key);
     const auto bytes = http::request("POST", "/hook", call.address, fields, *call.body);
     if (net::sendAll(fd, bytes, call.until) != net::Io::done) return ended(Ending::noConnection);
+    return answer(call, fd, keep);
+}
+
+// Danger: an answer may be spoilt: noise, a head that can't be read or never ends, a length that does not
+// fit, a body that keeps coming. The request has run then, and the connection, open as it may be, would give
+// the next call the rest of this answer. So: what has begun must end soon, in few bytes; where it does not,
+// the first line decides alone, and the connection goes. A 200 there is a delivery whatever follows it.
+Result Delivery::answer(const Call& call, int fd, bool& keep) {
+    using State = http::Parser::State;
     http::Parser parser(http::Parser::Role::response);
-    bool closed = false;
-    for (std::string got; parser.state() != http::Parser::State::complete; got.clear()) {
-        switch (net::receive(fd, got, call.until)) {
-            case net::Io::timedOut: return off(Ending::timedOut);
-            case net::Io::broken: return off(Ending::reset);
-            case net::Io::closed:
-                closed = true;
-                if (parser.finish() != http::Parser::State::complete) return off(Ending::reset);
-                break;
-            case net::Io::done:
-                if (parser.feed(got) == http::Parser::State::bad) {
-                    log::warning() << "an answer of " << call.endpoint << " can't be read";
-                    return off(Ending::error);
-                }
-                if (parser.state() == http::Parser::State::complete && parser.message().status < 200)
-                    parser.next();
-        }
+    auto until = call.until;
+    auto io = net::Io::done;
+    std::size_t bytes = 0;
+    bool begun = false;
+    while (parser.state() != State::complete && parser.state() != State::bad && bytes < kMostAnswer) {
+        std::string got;
+        io = net::receive(fd, got, until);
+        if (io != net::Io::done) break;
+        bytes += got.size();
+        parser.feed(got);
+        // 1xx answers say nothing yet; the answer proper may still take its time.
+        while (parser.state() == State::complete && parser.message().status < 200) parser.next();
+        if (!begun && parser.begun()) until = std::min(until, net::Steady::now() + kRest);
+        begun = parser.begun();
+        if (!begun) until = call.until;
     }
-    keep = !closed && parser.message().keepsAlive() && parser.leftover() == 0;
-    return meaning(parser.message());
+    const auto ended = [](Ending ending) { return Result{ending, false, {}, {}, {}}; };
+    keep = parser.state() == State::complete && parser.message().keepsAlive() && parser.leftover() == 0;
+    // A body without a length, or one that would go on to the connection's end: the head is all that counts.
+    if (parser.state() == State::complete || parser.finish() == State::complete)
+        return meaning(parser.message());
+    if (parser.message().status == 200) return ended(Ending::delivered);
+    if (call.calledOff.stop_requested()) return ended(Ending::cancelled);
+    if (!begun) return ended(io == net::Io::timedOut ? Ending::timedOut : Ending::reset);
+    if (io == net::Io::closed || io == net::Io::broken) return ended(Ending::reset);
+    log::info() << "an answer of " << call.endpoint << " can't be read";
+    return ended(Ending::error);
 }
 
 }  // namespace laurelhaven::delivery
--- a/src/delivery/delivery.hpp
+++ b/src/delivery/delivery.hpp
@@ -21,12 +21,13 @@
     void start();
     /// The workers return once the facade gives out no more calls.
     void stop();
-    void closeIdle(const std::string& address) { idle_.close(address); }
+    void closeIdle(const std::string& endpoint) { idle_.close(endpoint); }
 
   private:
     decisions::Result deliver(const decisions::Call& call);
     decisions::Result attempt(const decisions::Call& call, const net::Address& address, int fd, bool warm,
                               bool& keep);
+    decisions::Result answer(const decisions::Call& call, int fd, bool& keep);
 
     const config::Config& config_;
     decisions::Decisions& decisions_;
--- a/src/delivery/idle.cpp
+++ b/src/delivery/idle.cpp
@@ -4,12 +4,12 @@
 
 namespace laurelhaven::delivery {
 
-net::Fd Idle::take(const std::string& address) {
+net::Fd Idle::take(const std::string& endpoint, const std::string& address) {
     const std::lock_guard lock(mutex_);
     const auto now = net::Steady::now();
     for (auto it = entries_.end(); it != entries_.begin();) {
         --it;
-        if (it->address != address) continue;
+        if (it->endpoint != endpoint || it->address != address || now < it->from) continue;
         net::Fd fd = std::move(it->fd);
         const bool fresh = now < it->until;
         it = entries_.erase(it);
@@ -19,17 +19,18 @@
     return {};
 }
 
-void Idle::give(const std::string& address, net::Fd fd) {
+void Idle::give(const std::string& endpoint, const std::string& address, net::Fd fd) {
     const std::lock_guard lock(mutex_);
     if (stopped_) return;
-    entries_.push_back({address, std::move(fd), net::Steady::now() + keep_});
+    const auto now = net::Steady::now();
+    entries_.push_back({endpoint, address, std::move(fd), now + rest_, now + keep_});
     if (entries_.size() > most_) entries_.pop_front();
     if (entries_.size() == 1) changed_.notify_one();
 }
 
-void Idle::close(const std::string& address) {
+void Idle::close(const std::string& endpoint) {
     const std::lock_guard lock(mutex_);
-    std::erase_if(entries_, [&](const Entry& e) { return e.address == address; });
+    std::erase_if(entries_, [&](const Entry& e) { return e.endpoint == endpoint; });
 }
 
 void Idle::expire() {
--- a/src/delivery/idle.hpp
+++ b/src/delivery/idle.hpp
@@ -1,4 +1,4 @@
-// Connections that stand idle, by endpoint address.
+// Connections that stand idle, by endpoint and address.
 #pragma once
 
 #include <chrono>
@@ -11,24 +11,32 @@
 
 namespace laurelhaven::delivery {
 
+// Danger: an endpoint goes and another takes over its address. What was connected to the first must not carry
+// calls to the second, so the endpoint's id counts, not the address alone.
+// Danger: a second copy of an answer may come right behind it, and would be taken for the answer to the next
+// call; that call's own answer would go to the one after it, and so on. So a connection rests first, and is
+// used again only if nothing has come meanwhile.
 class Idle {
   public:
-    Idle(std::chrono::nanoseconds keep, std::size_t most) : keep_(keep), most_(most) {}
-    /// The one used last, still open as far as can be seen; or empty.
-    net::Fd take(const std::string& address);
-    void give(const std::string& address, net::Fd fd);
-    void close(const std::string& address);
+    /// A connection rests for `rest` before it is used again, and is kept for `keep`.
+    Idle(std::chrono::nanoseconds rest, std::chrono::nanoseconds keep, std::size_t most)
+        : rest_(rest), keep_(keep), most_(most) {}
+    /// The one used last that has rested, still open as far as can be seen; or empty.
+    net::Fd take(const std::string& endpoint, const std::string& address);
+    void give(const std::string& endpoint, const std::string& address, net::Fd fd);
+    /// Closes those to the endpoint.
+    void close(const std::string& endpoint);
     /// Closes each connection when it has stood idle for its time; returns once stopped.
     void expire();
     void stop();
 
   private:
     struct Entry {
-        std::string address;
+        std::string endpoint, address;
         net::Fd fd;
-        net::Deadline until;
+        net::Deadline from, until;
     };
-    std::chrono::nanoseconds keep_;
+    std::chrono::nanoseconds rest_, keep_;
     std::size_t most_;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -1,4 +1,5 @@
-// Where discovery is just now. One owner of the address, for all that speak with it: the watch and the notices.
+// Where discovery is just now. One owner of the address, for all that speak with it: the watch and the
+// notices.
 #pragma once
 
 #include <mutex>
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,12 +18,21 @@
 using std::chrono::milliseconds;
 
 constexpr int kBacklog = 512;
-constexpr std::size_t kMostConnections = 256;
-constexpr milliseconds kRead{2000};  // a client waits 400 ms: what is not whole by then never will be
+constexpr std::size_t kLeaving = 16;  // connections beyond the most, while those told to go are going
+// A client waits 400 ms: what is not whole by then never will be. Whoever sends less, or byte by byte, is
+// answered or shut this long after connecting, or after its next request's first byte.
+constexpr milliseconds kRead{2000};
 constexpr milliseconds kWrite{1000};
-constexpr milliseconds kIdle{60000};
+constexpr milliseconds kIdle{10000};
 constexpr milliseconds kPause{20};  // between tries where no descriptor or thread is to be had
-constexpr milliseconds kLinger{100};
+// After the last answer, so long and so much is dropped: a close with bytes unread would reset it away.
+constexpr milliseconds kDrain{1000};
+constexpr std::size_t kMostDrained = 80 << 20;
+// What may go where room is short: idle connections after so long, silent ones, and those in the middle of a
+// request. A usual client sends its request whole, as soon as it has connected.
+constexpr milliseconds kRested{2000};
+constexpr milliseconds kSilent{300};
+constexpr milliseconds kSlow{600};
 
 std::string seconds(milliseconds span) {
     char text[32];
@@ -31,13 +40,13 @@
     return text;
 }
 
-/// A refusal before the request was read whole: closing at once would reset the answer away.
-void linger(int fd) {
-    shutdown(fd, SHUT_WR);
-    const auto until = net::Steady::now() + kLinger;
-    std::string rest;
-    for (std::size_t all = 0; all < (1 << 20); all += rest.size(), rest.clear())
-        if (net::receive(fd, rest, until) != net::Io::done) return;
+/// No room: told so at once, without a thread, and never waited for.
+void turnAway(const net::Fd& fd) {
+    static const auto text = http::response(503, {{"Retry-After", "0.3"}}, "no room\n", false);
+    send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    net::shutWriting(fd.get());
+    while (recv(fd.get(), nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT) > 0) {
+    }
 }
 
 }  // namespace
@@ -46,7 +55,7 @@
     : config_(config),
       decisions_(decisions),
       listener_(net::listenOn(config.listen, kBacklog)),
-      most_(std::min(kMostConnections, config.sockets / 3)) {}
+      most_(config::shares(config).clients) {}
 
 void Front::start() {
     ready_ = true;
@@ -61,7 +70,8 @@
     listener_.reset();
     std::unique_lock lock(mutex_);
     for (auto& c : connections_)
-        if (c.phase == Connection::Phase::idle) net::shutReading(c.fd.get());
+        if (c.phase == Connection::Phase::idle || c.phase == Connection::Phase::draining)
+            net::shutReading(c.fd.get());
     changed_.wait_for(lock, milliseconds(300), [this] {
         return std::all_of(connections_.begin(), connections_.end(),
                            [](const Connection& c) { return c.phase == Connection::Phase::over; });
@@ -90,7 +100,7 @@
         } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::unique_lock lock(mutex_);
-            makeRoom(lock);
+            makeRoom();
             changed_.wait_for(lock, kPause, [this] { return stopping_.load(); });
         } else if (errno != EINTR && errno != ECONNABORTED && !stopping_) {
             log::warning() << "front: accept: " << std::strerror(errno);
@@ -102,12 +112,15 @@
 void Front::admit(net::Fd fd) {
     std::unique_lock lock(mutex_);
     reap(lock);
-    while (connections_.size() >= most_ && !stopping_) {
-        makeRoom(lock);
-        changed_.wait_for(lock, kPause);
-        reap(lock);
-    }
+    const auto leaving = static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return c.shut; }));
+    const bool room =
+        connections_.size() < most_ + kLeaving && (connections_.size() - leaving < most_ || makeRoom());
     if (stopping_) return;
+    if (!room) {
+        lock.unlock();
+        return turnAway(fd);
+    }
     Connection& c = connections_.emplace_back();
     c.fd = std::move(fd);
     c.since = net::Steady::now();
@@ -115,20 +128,34 @@
         c.thread = threads::Thread("client", [this, &c] { serve(c); });
     } catch (const std::exception& e) {
         log::error() << "front: " << e.what();
+        turnAway(c.fd);
         connections_.pop_back();
     }
 }
 
-// Danger: clients that open connections and send nothing, or half a request, would take them all. The one
-// that stood longest between requests goes first (its client sends again on a new one), then the one that has
-// been longest in sending a request. One whose request has come whole is never cut.
-bool Front::makeRoom(std::unique_lock<std::mutex>&) {
+// Danger: clients that open connections and send nothing, or half a request, would take them all. Those that
+// have had their last answer go first, then the one that stood longest between requests (its client sends
+// again on a new one), then the one silent longest since it connected, then the one slowest with its request.
+// None goes whose request has come whole, and none so young that a usual client might still be at it.
+bool Front::makeRoom() {
     using Phase = Connection::Phase;
+    const auto now = net::Steady::now();
+    const auto rank = [now](const Connection& c) {  // 0: stays
+        const auto age = now - c.since;
+        if (c.shut) return 0;
+        if (c.phase == Phase::draining) return 4;
+        if (c.phase == Phase::idle && age >= kRested) return 3;
+        if (c.phase == Phase::fresh && age >= kSilent) return 2;
+        return c.phase == Phase::reading && age >= kSlow ? 1 : 0;
+    };
     Connection* worst = nullptr;
     for (auto& c : connections_) {
-        if (c.shut || (c.phase != Phase::idle && c.phase != Phase::reading)) continue;
-        const auto rank = [](const Connection& x) { return std::make_pair(x.phase != Phase::idle, x.since); };
-        if (!worst || rank(c) < rank(*worst)) worst = &c;
+        const int its = rank(c);
+        if (its == 0 || (worst && std::make_pair(its, worst->since) <= std::make_pair(rank(*worst), c.since)))
+            continue;
+        // Bytes that its thread has not come to yet may be a whole request.
+        if ((its == 2 || its == 3) && net::unread(c.fd.get()) == net::Unread::bytes) continue;
+        worst = &c;
     }
     if (!worst) return false;
     worst->shut = true;
@@ -163,75 +190,95 @@
     using Phase = Connection::Phase;
     const int fd = connection.fd.get();
     http::Parser parser(http::Parser::Role::request);
-    for (net::Deadline came; read(connection, parser, came);) {
+    net::Deadline came = connection.since;
+    Next next = read(connection, parser, came, true);
+    while (next == Next::request) {
         enter(connection, Phase::answering);
-        const bool more = answer(fd, parser.message(), came);
-        if (!more || stopping_) break;
+        next = answer(fd, parser.message(), came);
+        if (next != Next::request || stopping_) break;
         parser.next();
         enter(connection, Phase::idle);
+        next = read(connection, parser, came, false);
+    }
+    if (next == Next::drain) {
+        enter(connection, Phase::draining);
+        net::shutWriting(fd);
+        net::discard(fd, kMostDrained, net::Steady::now() + kDrain);
     }
     enter(connection, Phase::over);
 }
 
-/// One whole request. False: the connection ends here.
-bool Front::read(Connection& connection, http::Parser& parser, net::Deadline& came) {
+/// One whole request, and nothing behind it. `came`: when it began; a first one is timed from the connect on.
+Front::Next Front::read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first) {
     using State = http::Parser::State;
     const int fd = connection.fd.get();
-    if (!parser.begun() && !net::waitReadable(fd, net::Steady::now() + kIdle)) return false;
+    const auto begun = net::Steady::now();
+    if (!net::waitReadable(fd, first ? came + kRead : begun + kIdle)) return Next::close;
+    const auto until = (first ? came : net::Steady::now()) + kRead;
     came = net::Steady::now();
     enter(connection, Connection::Phase::reading);
+    const auto refuse = [&](int status, const char* why) {
+        enter(connection, Connection::Phase::answering);
+        const auto text = http::response(status, {}, why, false);
+        return net::sendAll(fd, text, net::Steady::now() + kWrite) == net::Io::done ? Next::drain
+                                                                                    : Next::close;
+    };
     bool continued = false;
     while (parser.state() == State::head || parser.state() == State::body) {
         if (parser.state() == State::body && !continued &&
             parser.message().headers.lists("Expect", "100-continue")) {
             continued = true;
-            if (net::sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", came + kRead) != net::Io::done)
-                return false;
+            if (net::sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", until) != net::Io::done) return Next::close;
         }
         std::string bytes;
-        const auto io = net::receive(fd, bytes, came + kRead);
-        if (io == net::Io::timedOut && parser.begun())
-            net::sendAll(fd, http::response(408, {}, "the request took too long\n", false),
-                         came + kRead + kWrite);
-        if (io != net::Io::done) return false;
+        const auto io = net::receive(fd, bytes, until);
+        if (io == net::Io::timedOut) return refuse(408, "the request took too long\n");
+        if (io != net::Io::done) return Next::close;
         parser.feed(bytes);
     }
-    if (parser.state() == State::complete) return true;
-    enter(connection, Connection::Phase::answering);
-    net::sendAll(fd, http::response(parser.refusal(), {}, "the request can't be taken\n", false),
-                 net::Steady::now() + kWrite);
-    linger(fd);
-    return false;
+    if (parser.state() == State::bad) return refuse(parser.refusal(), "the request can't be taken\n");
+    // Danger: a length that is too short leaves the rest of the body where the next request would begin, and
+    // whoever wrote that body chose it. Clients send one request at a time, so bytes behind it are no
+    // request.
+    const auto behind = net::unread(fd);
+    if (parser.leftover() > 0 || behind == net::Unread::bytes)
+        return refuse(400, "more follows than the request's length says\n");
+    return behind == net::Unread::end ? Next::close
+                                      : Next::request;  // gone: it may hand the message in again
 }
 
-/// True where the connection goes on.
-bool Front::answer(int fd, http::Message& request, net::Deadline came) {
-    const bool keep = request.keepsAlive() && !stopping_;
+Front::Next Front::answer(int fd, http::Message& request, net::Deadline came) {
+    bool keep = request.keepsAlive() && !stopping_;
     const auto until = net::Steady::now() + kWrite;
     const auto say = [&](int status, const http::Fields& fields, std::string_view body) {
-        return net::sendAll(fd, http::response(status, fields, request.method == "HEAD" ? "" : body, keep),
-                            until) == net::Io::done;
+        const auto text = http::response(status, fields, request.method == "HEAD" ? "" : body, keep);
+        if (net::sendAll(fd, text, until) != net::Io::done) return Next::close;
+        return keep ? Next::request : Next::drain;
     };
     const auto asked = intake(config_, request, came);
-    if (const auto* denied = std::get_if<Denied>(&asked))
-        return say(denied->status, {}, denied->why + "\n") && keep;
+    if (const auto* denied = std::get_if<Denied>(&asked)) {
+        keep = false;  // who gets that wrong may get the next one's beginning wrong too
+        return say(denied->status, {}, denied->why + "\n");
+    }
     if (std::holds_alternative<Ready>(asked))
-        return (ready_ ? say(200, {}, "ready\n") : say(503, {}, "stopping\n")) && keep;
+        return ready_ ? say(200, {}, "ready\n") : say(503, {}, "stopping\n");
     const auto& message = std::get<decisions::HandIn>(asked);
     const auto verdict = decisions_.report(message);
     switch (verdict.kind) {
-        case decisions::Verdict::Kind::taken:
-            if (say(202, {}, "")) return keep;
+        case decisions::Verdict::Kind::taken: {
+            const auto next = say(202, {}, "");
             // The client closed the connection: it may hand the message in again, and this one counts for
-            // nothing.
-            decisions_.withdraw(message.id);
-            return false;
+            // nothing. One taken before is still its first hand-in's.
+            if (next == Next::close && !verdict.before) decisions_.withdraw(message.id);
+            return next;
+        }
         case decisions::Verdict::Kind::refused:
-            if (verdict.after.count() <= 0) return say(503, {}, "refused\n") && keep;
-            return say(503, {{"Retry-After", seconds(verdict.after)}}, "refused\n") && keep;
-        case decisions::Verdict::Kind::failed: return say(500, {}, "failed\n") && keep;
+            if (verdict.after.count() <= 0) return say(503, {}, "refused\n");
+            return say(503, {{"Retry-After", seconds(verdict.after)}}, "refused\n");
+        case decisions::Verdict::Kind::failed: return say(500, {}, "failed\n");
+        case decisions::Verdict::Kind::conflict: return say(409, {}, "the id is another message's\n");
     }
-    return false;
+    return Next::close;
 }
 
 }  // namespace laurelhaven::front
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -1,4 +1,4 @@
-// The clients' side: a listener and a thread for each connection, within a fixed number of them.
+// The clients' side: a listener and a thread for each connection, within the number that the limits leave.
 #pragma once
 
 #include <atomic>
@@ -31,21 +31,24 @@
   private:
     struct Connection {
         net::Fd fd;
-        enum class Phase { idle, reading, answering, over } phase = Phase::idle;
+        /// fresh: nothing has come yet; draining: its last answer is written, and what still comes is
+        /// dropped.
+        enum class Phase { fresh, reading, answering, idle, draining, over } phase = Phase::fresh;
         net::Deadline since;
         bool shut = false;
         threads::Thread thread;
     };
     using Connections = std::list<Connection>;
+    enum class Next { request, drain, close };
 
     void accept();
     void admit(net::Fd fd);
-    bool makeRoom(std::unique_lock<std::mutex>& lock);
+    bool makeRoom();
     void reap(std::unique_lock<std::mutex>& lock);
     void serve(Connection& connection);
     void enter(Connection& connection, Connection::Phase phase);
-    bool answer(int fd, http::Message& request, net::Deadline came);
-    bool read(Connection& connection, http::Parser& parser, net::Deadline& came);
+    Next read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first);
+    Next answer(int fd, http::Message& request, net::Deadline came);
 
     const config::Config& config_;
     decisions::Decisions& decisions_;
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -35,6 +35,12 @@
     if (path.empty() || path[0] != '/' || grade < 0) return Denied{404, "no such path"};
     if (request.method != "POST") return Denied{405, "use POST"};
     const auto& headers = request.headers;
+    for (const char* name :
+         {"Req-Id", "Req-Kind", "Req-Owner", "Req-Deadline-Ms", "X-Route-To", "Idempotency-Key"})
+        if (headers.count(name) > 1) return Denied{400, std::string(name) + " is given twice"};
+    // Without a length, what follows would be taken for another request.
+    if (!headers.find("Content-Length") && !headers.find("Transfer-Encoding"))
+        return Denied{411, "Content-Length is missing"};
     const auto* id = headers.find("Req-Id");
     if (!plain(id)) return Denied{400, "Req-Id is missing or malformed"};
     const auto* kind = headers.find("Req-Kind");
@@ -62,7 +68,9 @@
     message.destination = *destination;
     message.grade = static_cast<std::uint32_t>(grade);
     message.tenant = static_cast<std::uint32_t>(tenant);
-    message.deadline = came + std::chrono::milliseconds(*ms);
+    // Nothing is held for longer than its class lasts, whatever its client says.
+    const auto longest = std::chrono::ceil<std::chrono::milliseconds>(config.settings.grades[grade].giveUp);
+    message.deadline = came + std::min(std::chrono::milliseconds(*ms), longest);
     message.body = std::make_shared<const std::string>(std::move(request.body));
     return message;
 }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -34,6 +34,9 @@
     });
 }
 
+constexpr std::size_t kMostBlanks = 2;
+constexpr std::size_t kStatusEnds = 13;  // "HTTP/1.1 200 "
+
 const char* reason(int status) {
     switch (status) {
         case 200: return "OK";
@@ -43,6 +46,8 @@
         case 404: return "Not Found";
         case 405: return "Method Not Allowed";
         case 408: return "Request Timeout";
+        case 409: return "Conflict";
+        case 411: return "Length Required";
         case 413: return "Content Too Large";
         case 429: return "Too Many Requests";
         case 431: return "Request Header Fields Too Large";
@@ -66,6 +71,11 @@
     return nullptr;
 }
 
+std::size_t Headers::count(std::string_view name) const {
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](const auto& field) { return same(field.first, name); }));
+}
+
 bool Headers::lists(std::string_view name, std::string_view word) const {
     for (const auto& [key, value] : all) {
         if (!same(key, name)) continue;
@@ -94,7 +104,7 @@
     message_ = {};
     state_ = State::head;
     first_ = true;
-    headerBytes_ = 0;
+    headerBytes_ = blanks_ = 0;
     return run();
 }
 
@@ -109,8 +119,11 @@
     if ((end == std::string::npos ? buffer_.size() : end) - at_ > most) return bad(431), false;
     if (end == std::string::npos) return false;
     line = std::string_view(buffer_).substr(at_, end - at_);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
     at_ = end + 1;
+    // Danger: readers that disagree on where a line ends see different requests in the same bytes. A client
+    // ends each line with both bytes; an endpoint's answer is for nobody else, and read more kindly.
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    else if (role_ == Role::request) return bad(400), false;
     return true;
 }
 
@@ -118,7 +131,7 @@
     std::string_view line;
     while (state_ == State::head && readLine(line, limits_.line)) {
         if (first_) {
-            if (line.empty()) continue;  // tolerated before a message
+            if (line.empty() && ++blanks_ <= kMostBlanks) continue;  // tolerated before a message
             first_ = false;
             if (!firstLine(line)) return bad(400);
         } else if (line.empty()) {
@@ -129,6 +142,11 @@
             if (!headerLine(line)) return bad(400);
         }
     }
+    // An answer whose first line has not ended may say enough already, or that it is none.
+    const auto begun = std::string_view(buffer_).substr(at_);
+    if (state_ == State::head && first_ && role_ == Role::response && begun.size() >= kStatusEnds &&
+        begun.find('\r') == std::string_view::npos && !firstLine(begun))
+        return bad(400);
     while (state_ == State::body && takeBody()) {
     }
     buffer_.erase(0, at_);
@@ -137,7 +155,7 @@
 }
 
 bool Parser::firstLine(std::string_view line) {
-    if (!clean(line)) return false;
+    if (role_ == Role::request && !clean(line)) return false;
     const auto version = [this](std::string_view text) {
         if (text != "HTTP/1.1" && text != "HTTP/1.0") return false;
         message_.minor = text.back() - '0';
@@ -164,7 +182,8 @@
     const auto colon = line.find(':');
     if (colon == std::string_view::npos || !token(line.substr(0, colon))) return false;
     const auto value = trimmed(line.substr(colon + 1));
-    if (!clean(value)) return false;
+    // An answer's fields are passed on to nobody, and what is wrong in one does not spoil the others.
+    if (role_ == Role::request && !clean(value)) return false;
     message_.headers.all.emplace_back(line.substr(0, colon), value);
     return true;
 }
@@ -174,9 +193,11 @@
     const auto* coding = headers.find("Transfer-Encoding");
     const auto* length = headers.find("Content-Length");
     const int status = message_.status;
-    if (coding && length) return bad(400), false;  // two lengths: the next message would begin at a guess
-    for (const auto& [name, value] : headers.all)
-        if (length && same(name, "Content-Length") && value != *length) return bad(400), false;
+    // Danger: two lengths, and the next message would begin at a guess: a body might hide a request.
+    const auto repeated = [&](std::string_view name) { return headers.count(name) > 1; };
+    if ((coding && length) || repeated("Transfer-Encoding") || repeated("Content-Length"))
+        return bad(400), false;
+    if (coding && message_.minor == 0) return bad(400), false;
     state_ = State::body;
     if (role_ == Role::response && (status < 200 || status == 204 || status == 304)) {
         state_ = State::complete;
@@ -216,7 +237,9 @@
         case Part::untilEnd: take(ready); return false;
         case Part::chunkSize: {
             if (!readLine(line, limits_.line)) return false;
-            const auto digits = trimmed(line.substr(0, line.find(';')));
+            const auto digits = line.substr(0, line.find(';'));
+            headerBytes_ += line.size() - digits.size();  // extensions: no more of them than of header lines
+            if (headerBytes_ > limits_.headers) return bad(431), false;
             std::size_t size = 0;
             const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
             if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size())
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -20,6 +20,7 @@
 struct Headers {
     std::vector<std::pair<std::string, std::string>> all;
     const std::string* find(std::string_view name) const;
+    std::size_t count(std::string_view name) const;
     /// True where the header lists the word, as in "Connection: keep-alive, close".
     bool lists(std::string_view name, std::string_view word) const;
 };
@@ -77,7 +78,7 @@
     std::string buffer_;
     std::size_t at_ = 0;  // what of the buffer is used up
     bool first_ = true;
-    std::size_t headerBytes_ = 0;
+    std::size_t headerBytes_ = 0, blanks_ = 0;
     Part part_ = Part::length;
     std::size_t left_ = 0;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -149,8 +149,7 @@
     while (!hurry && since() < kServeOn && !nothingLeft()) hurry = stopIn(kLook);
     front.stop();
     decisions.stopPicking();  // calls out may finish; those that have not begun are left to the next start
-    while (!hurry && since() < kFinish && (decisions.out() > 0 || notices.owed() > 0))
-        hurry = stopIn(kLook);
+    while (!hurry && since() < kFinish && (decisions.out() > 0 || notices.owed() > 0)) hurry = stopIn(kLook);
     decisions.stop();
     notices.stop();
     registry.stop();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -131,12 +131,27 @@
     }
 }
 
-bool quiet(int fd) {
-    pollfd look{fd, POLLIN | POLLRDHUP, 0};
-    return poll(&look, 1, 0) == 0;
+Unread unread(int fd) {
+    char byte;
+    for (;;) {
+        const auto got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got > 0) return Unread::bytes;
+        if (got == 0) return Unread::end;
+        if (errno != EINTR) return errno == EAGAIN || errno == EWOULDBLOCK ? Unread::nothing : Unread::end;
+    }
+}
+
+void discard(int fd, std::size_t most, Deadline until) {
+    for (std::size_t all = 0; all < most;) {
+        if (!limit(fd, SO_RCVTIMEO, until)) return;
+        const auto got = recv(fd, nullptr, 1 << 20, MSG_TRUNC);
+        if (got > 0) all += static_cast<std::size_t>(got);
+        else if (got == 0 || errno != EINTR) return;
+    }
 }
 
 void shut(int fd) { shutdown(fd, SHUT_RDWR); }
 void shutReading(int fd) { shutdown(fd, SHUT_RD); }
+void shutWriting(int fd) { shutdown(fd, SHUT_WR); }
 
 }  // namespace laurelhaven::net
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -61,11 +61,18 @@
 Io receive(int fd, std::string& into, Deadline until);
 /// Waits for bytes or the end of the other side. False when the time is up first.
 bool waitReadable(int fd, Deadline until);
+/// What stands unread on a connection just now.
+enum class Unread { nothing, bytes, end };
+Unread unread(int fd);
 /// True while the other side has neither sent anything unasked nor gone.
-bool quiet(int fd);
+inline bool quiet(int fd) { return unread(fd) == Unread::nothing; }
+/// Reads and drops what comes, at no cost of copying, until the other side ends, the time is up or so many
+/// bytes have gone by.
+void discard(int fd, std::size_t most, Deadline until);
 /// Ends sending and receiving, from any thread; the descriptor stays open.
 void shut(int fd);
 void shutReading(int fd);
+void shutWriting(int fd);
 
 template <class Watch>
 Fd connectTo(const Address& to, Deadline until, Watch&& watch) {
--- a/src/notices/notices.hpp
+++ b/src/notices/notices.hpp
@@ -42,7 +42,7 @@
     std::condition_variable_any wake_;
     std::deque<store::Owed> queue_;
     bool oneByOne_ = false;
-    net::Fd fd_;  // used by the thread alone, as the next
+    net::Fd fd_;      // used by the thread alone, as the next
     std::string at_;  // the address that it leads to
     std::stop_source stop_;
     threads::Thread thread_;
