--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -112,6 +112,10 @@
 void Front::admit(net::Fd fd) {
     std::unique_lock lock(mutex_);
     reap(lock);
+    if (connections_.size() >= most_ + kLeaving) {  // those told to go have not gone yet
+        changed_.wait_for(lock, kPause);
+        reap(lock);
+    }
     const auto leaving = static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return c.shut; }));
     const auto staying = connections_.size() - leaving;
@@ -139,6 +143,8 @@
 // Danger: clients that open connections and send nothing, or half a request, would take them all. Those that
 // have had their last answer go first, then the one that stood longest between requests (its client sends
 // again on a new one), then the one silent longest since it connected, then the one slowest with its request.
+// Where usual clients connect anew for each message and stay, none has rested yet: a newcomer's request is
+// worth more than any connection between requests, so the one used longest ago goes then.
 // None goes whose request has come whole, and none so young that a usual client might still be at it.
 bool Front::makeRoom(Worth least) {
     using Phase = Connection::Phase;
@@ -146,18 +152,20 @@
     const auto rank = [now](const Connection& c) {  // 0: stays
         const auto age = now - c.since;
         if (c.shut) return 0;
-        if (c.phase == Phase::draining) return 4;
-        if (c.phase == Phase::idle && age >= kRested) return 3;
-        if (c.phase == Phase::fresh && age >= kSilent) return 2;
-        return c.phase == Phase::reading && age >= kSlow ? 1 : 0;
+        if (c.phase == Phase::draining) return 5;
+        if (c.phase == Phase::idle) return age >= kRested ? 4 : 1;
+        if (c.phase == Phase::fresh && age >= kSilent) return 3;
+        return c.phase == Phase::reading && age >= kSlow ? 2 : 0;
     };
     Connection* worst = nullptr;
     for (auto& c : connections_) {
         const int its = rank(c);
-        if (its == 0 || (least == Worth::rested && its < 3)) continue;
+        if (its == 0 || (least == Worth::rested && its < 4)) continue;
         if (worst && std::make_pair(its, worst->since) <= std::make_pair(rank(*worst), c.since)) continue;
         // Bytes that its thread has not come to yet may be a whole request.
-        if ((its == 2 || its == 3) && net::unread(c.fd.get()) == net::Unread::bytes) continue;
+        if ((c.phase == Phase::idle || c.phase == Phase::fresh) &&
+            net::unread(c.fd.get()) == net::Unread::bytes)
+            continue;
         worst = &c;
     }
     if (!worst) return false;
--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -522,6 +522,12 @@
     constexpr int kClients = kSockets - 48 - 4 - 8;
     for (int i = 0; i < kClients; ++i) idle.push_back(program.connection());
     for (const auto& fd : idle) Program::status(fd, "GET /health/ready HTTP/1.1\r\n\r\n");
+    int refused = 0;  // newcomers do not wait for them to rest
+    for (int i = 0; i < kClients; ++i) {
+        idle.push_back(program.connection());
+        refused += Program::status(idle.back(), "GET /health/ready HTTP/1.1\r\n\r\n") != 200;
+    }
+    CHECK(refused < kClients / 4);
     await([&] {
         CHECK(program.status("GET /health/ready HTTP/1.1\r\n\r\n") != 0);
         return entries("/task") < 4 + 8 + kClients / 2;
