Probe first after a restart, and count probes against what a partner in doubt may be sent

Cause: the table of starts (laurelhaven-lab matrix) showed 63 to 79 messages at endpoints that had drained while the sender was dead, for lists of seconds and of an hour, and a fall-over of a cold partner: a probe's answer lifted the doubt it had just raised, and three senders' first calls came together on top of their probes.

Change: where probes are permitted nothing goes to an endpoint before one, or discovery, has confirmed it in this life; a probe weighs like a call in the module; first calls of several senders are drawn apart; only discovery lifts a doubt. Probes of a destination that nothing may be sent to have the calls' part of the cold budget.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # cppcheck 2.10 reads no literals such as 1ms, which the GoogleTest suites use.
 CHECKED = $(wildcard src/*/*.cpp src/main.cpp lab/*.cpp lab/*/*.cpp tests/laurelhaven/*.cpp)
 
-.PHONY: setup build demo check test test-plain test-sanitized lint run clean
+.PHONY: measure fuzz setup build demo check test test-plain test-sanitized lint run clean
 
 # What a fresh machine lacks: the sender's packages, as the deploy file names them, and those of tests and lab.
 PACKAGES = $(shell sed -n 's/^packages = \[\(.*\)\]/\1/p' deploy/balancer.toml | tr -d '",')
@@ -48,6 +48,21 @@
 	    --suppress=missingIncludeSystem --inline-suppr -I src -I include -I lab $(CHECKED)
 	sh tests/limits.sh .
 
+# Long measurements, for docs/: the table of starts (BASE: a program to play beside ours) and the list at size.
+measure: demo
+	build/laurelhaven-lab matrix $(if $(BASE),--against $(BASE))
+	build/list_bench 50000 20000
+
+# Fuzzes the readers of the kept list and of discovery's stream, FUZZ seconds each. Wants clang and libclang-rt.
+FUZZ ?= 60
+fuzz:
+	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang -DLAURELHAVEN_FUZZ=ON \
+	    -DSTOATHUB_ADAPTER=OFF -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	    -DCMAKE_CXX_FLAGS="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all"
+	cmake --build build-fuzz -j$(JOBS) --target kept_fuzz registry_fuzz
+	for f in kept registry; do mkdir -p build-fuzz/$$f; \
+	    build-fuzz/$${f}_fuzz -seed=1 -max_total_time=$(FUZZ) -max_len=8192 build-fuzz/$$f || exit 1; done
+
 # Wants the BALANCER_ variables; see the README.
 run: build
 	exec build/laurelhaven serve
--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -179,6 +179,7 @@
     /// Nobody has confirmed it of late, so it may be down or cold: one call first, and then little more than
     /// what it delivers, until it has had the time to warm up.
     bool doubted = false;
+    bool probed = false;  ///< a probe has reached it just now, and weighs like a call
 };
 
 using Event = std::variant<Handed, Outcome, ClientGone, Woken, ListNews, Note, Standing>;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -6,7 +6,7 @@
 #include <iostream>
 
 #include "log/log.hpp"
-#include "rig/world.hpp"
+#include "rig/matrix.hpp"
 
 using namespace laurelhaven;
 
@@ -25,6 +25,7 @@
     run->add_option("scenario", files, "scenario files (YAML)")->required()->check(CLI::ExistingFile);
     run->add_option("--sender", options.program, "the sender's program (default: beside this one)");
     run->add_option("--settings", options.settings, "our settings for the senders");
+    run->add_option("--log-level", options.logLevel, "of the senders");
     run->add_option("--folder", options.folder, "where state and logs go");
     run->add_option("--seed", seed, "in place of the scenarios' own");
     run->add_flag("--json", json, "a report a line, as JSON");
@@ -33,6 +34,14 @@
                   "for a program that has none: the configuration gives the old list");
     auto* check = app.add_subcommand("check", "read scenarios, play nothing");
     check->add_option("scenario", files, "scenario files (YAML)")->required();
+    std::string against;
+    int side = 4;
+    auto* table = app.add_subcommand("matrix", "the table of starts: ages of the list x fleets x discovery");
+    table->add_option("--sender", options.program, "the sender's program (default: beside this one)");
+    table->add_option("--against", against, "another program, without a kept list, played beside it");
+    table->add_option("--side", side, "so many runs at once")->check(CLI::Range(1, 32));
+    table->add_option("--seed", seed, "of the first run");
+    table->add_option("--folder", options.folder, "where state and logs go");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
@@ -44,6 +53,12 @@
     if (!json) options.progress = [](const std::string& line) { std::cerr << "  " << line << std::endl; };
     int status = 0;
     try {
+        if (table->parsed()) {
+            lab::MatrixOptions matrix{options, against, side, seed > 0 ? seed : 1};
+            bool clean = false;
+            std::cout << lab::matrix(matrix, clean);
+            return clean ? 0 : 1;
+        }
         for (const auto& file : files) {
             auto scenario = lab::scenarioFile(file);
             if (check->parsed()) {
--- a/lab/rig/scenario.cpp
+++ b/lab/rig/scenario.cpp
@@ -24,6 +24,8 @@
         made.mode = Discovery::mode(node["mode"].as<std::string>());
     } else if (what == "lose-history") {
         made.kind = Event::Kind::loseHistory;
+    } else if (what == "move") {
+        made.kind = Event::Kind::move;
     } else if (what == "outage" || what == "back" || what == "drain") {
         made.kind = what == "outage" ? Event::Kind::outage
                     : what == "back" ? Event::Kind::back
--- a/lab/rig/scenario.hpp
+++ b/lab/rig/scenario.hpp
@@ -19,7 +19,17 @@
 
 struct Event {
     milliseconds at{};
-    enum class Kind { discovery, loseHistory, outage, back, drain, kill, stop, start } kind = Kind::discovery;
+    enum class Kind {
+        discovery,
+        loseHistory,
+        outage,
+        back,
+        drain,
+        kill,
+        stop,
+        start,
+        move
+    } kind = Kind::discovery;
     Discovery::Mode mode = Discovery::Mode::up;
     std::size_t which = 0;  ///< partner or sender
 };
@@ -27,6 +37,7 @@
 struct Scenario {
     std::string name = "unnamed";
     std::uint64_t seed = 1;
+    std::size_t block = 0;  ///< runs side by side in one process each have their own
     int senders = 1;
     bool mayProbe = true;
     int diskMb = 3;
--- a/lab/rig/sender.cpp
+++ b/lab/rig/sender.cpp
@@ -63,13 +63,12 @@
 SenderProcess::~SenderProcess() { kill(); }
 
 bool SenderProcess::start(milliseconds within) {
-    const auto config = plan_.folder + "/config.json";
-    std::ofstream(config) << configuration(plan_);
-    std::vector<std::string> words{plan_.program, "--log-level", "info"};
+    std::ofstream(config()) << configuration(plan_);
+    std::vector<std::string> words{plan_.program, "--log-level", plan_.logLevel};
     if (!plan_.settings.empty()) words.insert(words.end(), {"--settings", plan_.settings});
     words.push_back("serve");
     std::vector<std::string> variables{"BALANCER_NAME=" + plan_.name, "BALANCER_STATE=" + state(),
-                                       "BALANCER_CONFIG=" + config, "BALANCER_LISTEN=" + plan_.listen};
+                                       "BALANCER_CONFIG=" + config(), "BALANCER_LISTEN=" + plan_.listen};
     std::vector<char*> argv, envp;
     for (auto& w : words) argv.push_back(w.data());
     for (auto& v : variables) envp.push_back(v.data());
@@ -100,6 +99,14 @@
     return false;
 }
 
+void SenderProcess::moveDiscovery(const std::string& address) {
+    plan_.discovery = address;
+    // In one step: the sender must not read half a file.
+    std::ofstream(config() + ".new") << configuration(plan_);
+    std::filesystem::rename(config() + ".new", config());
+    if (pid_ > 0) ::kill(pid_, SIGHUP);
+}
+
 void SenderProcess::kill() {
     if (pid_ <= 0) return;
     ::kill(pid_, SIGKILL);
--- a/lab/rig/sender.hpp
+++ b/lab/rig/sender.hpp
@@ -11,6 +11,7 @@
 struct SenderPlan {
     std::string program;   ///< the sender's program
     std::string settings;  ///< a settings file of ours, or empty
+    std::string logLevel = "info";
     std::string folder;    ///< holds config.json, the state folder and the log
     std::string name, listen, discovery;
     std::string known;  ///< in discovery's form
@@ -33,6 +34,8 @@
     void kill();
     /// SIGTERM. The exit status, or -1 where it had to be killed.
     int stop();
+    /// Writes the configuration anew, with discovery elsewhere, and sends SIGHUP.
+    void moveDiscovery(const std::string& address);
     bool running() const { return pid_ > 0; }
     std::chrono::milliseconds readyAfter() const { return readyAfter_; }
     /// Bytes of resident memory, of the running process.
@@ -42,6 +45,7 @@
     std::string log() const { return plan_.folder + "/log"; }
 
   private:
+    std::string config() const { return plan_.folder + "/config.json"; }
     SenderPlan plan_;
     pid_t pid_ = -1;
     std::chrono::milliseconds readyAfter_{};
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -38,10 +38,10 @@
 /// Addresses of the block, one after the other.
 class Addresses {
   public:
-    explicit Addresses(std::uint64_t seed)
+    explicit Addresses(std::size_t block)
         : network_(boost::asio::ip::make_network_v4(kBlock)), next_(network_.hosts().begin()) {
-        // A run begins at a place of its own, by its process and seed.
-        const auto skip = (static_cast<std::uint64_t>(getpid()) * 131 + seed * 7919) % 4000 * 200;
+        // A run begins at a place of its own, by its process and its number there.
+        const auto skip = (static_cast<std::size_t>(getpid()) * 37 + block) % 4000 * 256;
         next_ = network_.hosts().find(
             boost::asio::ip::address_v4(network_.network().to_uint() + 1 + static_cast<unsigned>(skip)));
     }
@@ -182,15 +182,16 @@
         : set_(scenario),
           options_(options),
           chance_(scenario.seed),
-          addresses_(scenario.seed),
+          addresses_(scenario.block),
           ledger_(milliseconds(15000)),
-          discovery_(addresses_.next(8500)) {}
+          discovery_(addresses_.next(8500)),
+          elsewhere_(addresses_.next(8500)) {}
 
     Report play() {
         makeFleet();
         makeSenders();
         change();
-        discovery_.onTold = [this](const listing::Endpoint& e) {
+        discovery_.onTold = elsewhere_.onTold = [this](const listing::Endpoint& e) {
             if (e.status != listing::Status::serving) ledger_.told(e.name, Steady::now());
         };
         discovery_.start();
@@ -240,6 +241,7 @@
             SenderPlan plan;
             plan.program = options_.program;
             plan.settings = options_.settings;
+            plan.logLevel = options_.logLevel;
             plan.name = "n" + std::to_string(i);
             plan.folder = options_.folder + "/" + plan.name;
             std::filesystem::remove_all(plan.folder);
@@ -324,7 +326,7 @@
     void drain(listing::Endpoint e) {
         partnerOf(e.group).drain(e.name);
         e.status = listing::Status::draining;
-        discovery_.tell(e);
+        (moved_ ? elsewhere_ : discovery_).tell(e);
     }
 
     Partner& partnerOf(std::uint64_t destination) { return *partners_.at(destination - 100); }
@@ -336,12 +338,20 @@
             case Event::Kind::outage: partners_[event.which]->down(); break;
             case Event::Kind::back: partners_[event.which]->up(); break;
             case Event::Kind::drain:
-                for (const auto& e : discovery_.endpoints())
+                for (const auto& e : (moved_ ? elsewhere_ : discovery_).endpoints())
                     if (e.group == 100 + event.which && e.status == listing::Status::serving) {
                         drain(e);
                         break;
                     }
                 break;
+            case Event::Kind::move:
+                // Another discovery, which counts from 1 and has the same list; the old one is gone.
+                for (const auto& e : discovery_.endpoints()) elsewhere_.tell(e);
+                elsewhere_.start();
+                moved_ = true;
+                for (auto& sender : senders_) sender->moveDiscovery(elsewhere_.address());
+                discovery_.setMode(Discovery::Mode::refusing);
+                break;
             case Event::Kind::kill: senders_[event.which]->kill(); break;
             case Event::Kind::stop: stopped(senders_[event.which]->stop()); break;
             case Event::Kind::start:
@@ -414,8 +424,13 @@
     Report settle() {
         clients_->finish();
         const auto last = Steady::now() + set_.deadline + milliseconds(1000);
+        const auto ends = [&] {
+            auto all = discovery_.notices();
+            for (const auto& [id, notice] : elsewhere_.notices()) all.emplace(id, notice);
+            return all;
+        };
         const auto open = [&] {
-            const auto notices = discovery_.notices();
+            const auto notices = ends();
             std::size_t left = 0;
             Moment at;
             for (const auto& m : clients_->done)
@@ -424,7 +439,7 @@
         };
         while (Steady::now() < last && open() > 0) std::this_thread::sleep_for(milliseconds(50));
         report_.name = set_.name;
-        const auto notices = discovery_.notices();
+        const auto notices = ends();
         std::vector<double> asked(static_cast<std::size_t>(set_.duration.count() / 1000 + 1)),
             got(asked.size());
         for (const auto& m : clients_->done) {
@@ -472,7 +487,8 @@
     std::mt19937_64 chance_;
     Addresses addresses_;
     Ledger ledger_;
-    Discovery discovery_;
+    Discovery discovery_, elsewhere_;
+    bool moved_ = false;
     std::vector<std::unique_ptr<Partner>> partners_;
     std::vector<std::unique_ptr<SenderProcess>> senders_;
     std::unique_ptr<Clients> clients_;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,8 +52,9 @@
 constexpr double kFairFloor = 0.5;  // calls a second: least part of a destination taken as ours
 constexpr double kLone = 1.5;  // messages in its time to deliver, for which a rare one stands in an outage
 constexpr double kRateFade = 0.03;  // how fast the best delivered rate is forgotten, a second
-// A destination in doubt. Together they stay under the fall multiple: it falls over at 2 times 19% of its
-// capacity, and gets 0.25 times that and 1.4 times what it delivers.
+// A destination in doubt: the trickle of an outage until it first delivers. From then on the senders together
+// stay under the fall multiple: it falls over at 2 times 19% of its capacity, and gets 0.25 times that and 1.4
+// times what it delivers.
 constexpr double kDoubtBase = 0.25;  // part of the cold budget that is spent whatever comes back
 constexpr double kDoubtGain = 1.4;   // calls that a delivery allows
 constexpr double kDoubtMost = 8;     // of them that may be saved up
@@ -276,7 +277,7 @@
             const Owner& own = dest.own;
             const bool warming = t_ < own.coldAt + seconds(set_.warmUp);
             if (!own.down && !warming && own.heard <= 0 && !own.doubted) continue;
-            all.push_back({id, own.down, {}, own.told, own.doubted});
+            all.push_back({id, own.down, {}, own.told, own.doubted, false});
             if (warming) all.back().sinceCold = duration(t_ - own.coldAt);
         }
         return all;
@@ -340,7 +341,12 @@
         if (own.told <= 0) own.told = s.told;
         own.down = own.down || s.down;
         if (s.sinceCold) own.coldAt = std::max(own.coldAt, t_ - seconds(*s.sinceCold));
-        if (s.doubted && !own.doubted) own.provenAt = kNever, own.belief = 1, own.beliefAt = t_;
+        if (s.doubted && !own.doubted) {
+            // Senders that restart together must not make their first calls together.
+            own.provenAt = kNever, own.beliefAt = t_;
+            own.belief = s.probed ? 1 : set_.senders > 1 ? random() : 1;
+        }
+        if (s.probed) own.belief -= 1;
         // Who has been capped stays so until it has had the time to warm up: no jump in pace.
         own.doubted = s.doubted || (own.doubted && (own.calls > 0 || own.provenAt != kNever));
     }
@@ -618,7 +624,7 @@
         if (!own.doubted) return true;
         if (own.provenAt == kNever && own.calls > 0) return false;
         const double budget = set_.fallMultiple > 0 ? std::min(1.0, set_.fallMultiple * set_.coldFrom) : 1.0;
-        const double base = kDoubtBase * budget * fair(own);
+        const double base = (own.provenAt == kNever ? kTrickle : kDoubtBase) * budget * fair(own);
         if (own.belief < 1) own.belief = std::min(1.0, own.belief + base * (t_ - own.beliefAt));
         own.beliefAt = t_;
         return own.belief >= 1 || lookAt(t_ + std::min((1 - own.belief) / base, kSoon) + kGuard);
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -257,7 +257,7 @@
     if (stopped_ || standings.empty()) return;
     Events events;
     for (const auto& s : standings) {
-        stoathub::Standing event{s.destination, s.down, {}, s.told, s.doubted};
+        stoathub::Standing event{s.destination, s.down, {}, s.told, s.doubted, s.probed};
         if (s.sinceCold) event.sinceCold = *s.sinceCold;
         events.all.push_back(std::move(event));
     }
@@ -268,7 +268,7 @@
     const std::lock_guard lock(mutex_);
     std::vector<Standing> all;
     for (const auto& s : sender_.standings()) {
-        all.push_back({s.destination, s.down, {}, s.told, s.doubted});
+        all.push_back({s.destination, s.down, {}, s.told, s.doubted, false});
         if (s.sinceCold) all.back().sinceCold = wholeMs(*s.sinceCold);
     }
     return all;
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -77,6 +77,7 @@
     std::optional<std::chrono::milliseconds> sinceCold;
     double told = 0;  ///< calls a second; 0: not known
     bool doubted = false;
+    bool probed = false;
 };
 
 /// All are called with the facade's lock held, and must not call back into it.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -64,7 +64,7 @@
     entry.against = why;
     entry.againstAt = now;
     entry.heldBack = false;
-    entry.answered = entry.named = false;
+    entry.answered = entry.named = entry.seenLive = false;
     if (!was) --present_, ++tombstones_;
     touched.push_back(entry.is.name);
 }
@@ -91,7 +91,7 @@
     if (!fresh) drop(entry.is.name);
     Entry& made = at(entry.is);
     made = std::move(entry);
-    made.named = made.answered = false;
+    made.named = made.answered = made.seenLive = false;
     if (made.tombstone()) --present_, ++tombstones_;
     // A kept list never holds two of one address, but a damaged one may.
     std::vector<std::string> touched;
@@ -170,7 +170,7 @@
     if (fresh) entry.firstTold = now;
     if (moved) {
         changes_ += 1;
-        entry.answered = false;  // whatever answered did so at another address
+        entry.answered = entry.seenLive = false;  // whatever answered did so at another address
         if (const auto it = byAddress_.find(entry.is.address); it != byAddress_.end() && it->second == &entry)
             byAddress_.erase(it);
     }
@@ -187,7 +187,7 @@
     entry.against = Against::nothing;
     entry.heldBack = false;
     const bool wasNamed = entry.named;
-    entry.named = true;
+    entry.named = entry.seenLive = true;
     takeAddress(entry, now, touched);
     if (!same || !wasNamed) touched.push_back(told.name);
     return !same;
@@ -256,7 +256,8 @@
 void Membership::alive(WallMs now, bool verified) {
     if (verified && !live_) {
         live_ = true;
-        for (const auto& [name, entry] : entries_) entry->named = entry->against == Against::nothing;
+        for (const auto& [name, entry] : entries_)
+            if (entry->against == Against::nothing) entry->named = entry->seenLive = true;
     }
     if (!live_) return;
     watched(now);
@@ -337,6 +338,7 @@
     e.by = e.live ? Source::discovery : entry.by;
     e.against = entry.against;
     e.offered = entry.answered;
+    e.thisLife = entry.seenLive;
     return e;
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -45,9 +45,10 @@
     trust::Against against = trust::Against::nothing;
     bool named = false;     ///< discovery named it, or stood by it, on the stream that is heard now
     bool answered = false;  ///< it delivered or answered a probe in this life
+    bool seenLive = false;  ///< discovery named it in this life
     bool heldBack = false;  ///< missing from a suspiciously small list
     trust::Level shown = trust::Level::refuted;  ///< as judged last; see Membership::judgeAll()
-    bool oneByOne = false;
+    bool probeFirst = false;
     bool tombstone() const { return against != trust::Against::nothing && !heldBack; }
 };
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -17,8 +17,9 @@
 constexpr milliseconds kSilence{3500};  // an empty line comes every 2 s; news counts as told 6 s late at most
 
 void logNews(const listing::Listing& list) {
-    log::info() << "registry: " << (list.whole ? "whole list " : "changes ") << list.index << ", "
-                << list.endpoints.size() << " entries";
+    (log::info() << "registry: " << (list.whole ? "whole list" : "changes"))
+        .kv("index", list.index)
+        .kv("entries", list.endpoints.size());
 }
 
 }  // namespace
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -32,14 +32,14 @@
     if (entry.tombstone())
         told.status =
             entry.against == Against::drained ? listing::Status::draining : listing::Status::deleted;
-    else if (entry.heldBack || entry.shown == Level::stale) told.status = listing::Status::draining;
+    else if (entry.heldBack || entry.probeFirst) told.status = listing::Status::draining;
     else if (entry.shown == Level::refuted) told.status = listing::Status::deleted;
     else told.status = listing::Status::serving;
     return told;
 }
 
 bool usable(const membership::Entry& entry) {
-    return entry.against == Against::nothing &&
+    return entry.against == Against::nothing && !entry.probeFirst &&
            (entry.shown == Level::confirmed || entry.shown == Level::ageing);
 }
 
@@ -77,13 +77,15 @@
     }
     const milliseconds absence(std::max<WallMs>(0, now - image.writtenAt));
     longAbsence_ = loaded.ahead || absence > options_.membership.trust.confirmedFor;
-    log::info() << "kept list: " << image.entries.size() << " entries at index " << image.index
-                << ", written " << trust::span(absence) << " ago";
+    (log::info() << "kept list: read")
+        .kv("entries", image.entries.size())
+        .kv("index", image.index)
+        .kv("age", trust::span(absence));
     std::vector<decisions::Standing> told;
     const auto warmUp = std::chrono::ceil<milliseconds>(config_.settings.warmUp);
     for (const auto& [destination, s] : image.standings) {
         standings_[destination] = s;
-        decisions::Standing standing{destination, false, {}, s.told, false};
+        decisions::Standing standing{destination, false, {}, s.told, false, false};
         standing.down = s.down && now - s.outageAt <= options_.outageMemory.count();
         const milliseconds cold(std::max<WallMs>(0, now - s.coldSince));
         if (s.coldSince > 0 && cold < warmUp) standing.sinceCold = cold;
@@ -116,9 +118,11 @@
     judgeAt_ = Steady::now() + kLeastJudge;
     if (file_) writeAt_ = Steady::now() + options_.writeEvery;
     if (before > 0 || !config_.known.endpoints.empty())
-        log::info() << "list at the start: " << list_.entries().size() << " entries, " << stale_.size()
-                    << " stale, " << list_.tombstones() << " gone, half-life "
-                    << trust::span(list_.halfLife());
+        (log::info() << "list at the start")
+            .kv("entries", list_.entries().size())
+            .kv("stale", stale_.size())
+            .kv("gone", list_.tombstones())
+            .kv("half_life", trust::span(list_.halfLife()));
 }
 
 void Roster::start() {
@@ -139,11 +143,11 @@
     const auto judged = list_.judge(entry, now);
     const auto before = offered(entry).status;
     entry.shown = judged.level;
-    entry.oneByOne = judged.oneByOne;
+    entry.probeFirst = judged.probeFirst;
     if (judged.until > 0)
         judgeAt_ =
             std::min(judgeAt_, Steady::now() + std::max(kLeastJudge, milliseconds(judged.until - now)));
-    if (judged.level == Level::stale && entry.against == Against::nothing) stale_.insert(entry.is.name);
+    if (judged.probeFirst && entry.against == Against::nothing) stale_.insert(entry.is.name);
     else stale_.erase(entry.is.name);
     if (offered(entry).status != before) news.push_back(offered(entry));
 }
@@ -157,13 +161,15 @@
         bool any = false, vouched = false;
         for (const auto* entry : list_.of(destination)) {
             any = any || usable(*entry);
-            vouched = vouched || (usable(*entry) && entry->shown == Level::confirmed);
+            // A probe says that somebody is there, and nothing of how much it can take.
+            vouched = vouched || (usable(*entry) && entry->shown == Level::confirmed &&
+                                  (list_.live() || entry->by != Source::probe));
         }
         const bool doubt = any && (!vouched || (longAbsence_ && !begun_));
         if (doubt && doubted_.insert(destination).second) {
-            told.push_back({destination, false, {}, 0, true});
-        } else if (any && vouched && !longAbsence_ && doubted_.erase(destination) > 0) {
-            told.push_back({destination, false, {}, 0, false});
+            told.push_back({destination, false, {}, 0, true, false});
+        } else if (any && list_.live() && vouched && !longAbsence_ && doubted_.erase(destination) > 0) {
+            told.push_back({destination, false, {}, 0, false, false});
         }
     }
 }
@@ -299,9 +305,8 @@
             if (first && !list_.live()) touched.push_back(endpoint);
         }
         if (one.foreign && list_.contradict(endpoint, Against::notOurs, now)) {
-            log::warning() << "list: " << endpoint
-                           << " answers like a stranger; it gets nothing until discovery "
-                           << "names it";
+            (log::warning() << "list: an endpoint answers like a stranger; only discovery can name it again")
+                .kv("endpoint", endpoint);
             touched.push_back(endpoint);
         }
     }
@@ -318,8 +323,11 @@
         const auto* entry = list_.find(name);
         if (!entry) continue;
         const auto demand = decisions_.demand(entry->is.group);
+        const auto& fellows = list_.of(entry->is.group);
+        const bool served =
+            std::any_of(fellows.begin(), fellows.end(), [](const auto* x) { return usable(*x); });
         all.push_back(
-            {name, entry->is.group, entry->is.weight, demand.held, entry->traffic, demand.waitUntil});
+            {name, entry->is.group, entry->is.weight, demand.held, entry->traffic, demand.waitUntil, served});
     }
     return all;
 }
@@ -330,7 +338,7 @@
     {
         const std::lock_guard lock(work_);
         const auto* entry = list_.find(endpoint);
-        if (!entry || entry->shown != Level::stale) return;
+        if (!entry || !entry->probeFirst) return;
         at = entry->is.address;
         weight = entry->is.weight;
     }
@@ -371,10 +379,21 @@
         }
     }
     const std::lock_guard lock(work_);
-    const bool good = status == 200 && !stranger;
+    // Whoever knows no probes tells nothing by that; what the list says has to do.
+    const bool good = (status == 200 || status == 404) && !stranger;
     probes_.answered(endpoint, good, Steady::now());
-    log::info() << "list: probe of " << endpoint << " at " << at << " answered " << status
-                << (stranger ? " with another partner's limit" : "");
+    (log::info() << "list: probed")
+        .kv("endpoint", endpoint)
+        .kv("address", at)
+        .kv("status", status)
+        .kv("stranger", stranger ? "yes" : "no")
+        .kv("probes", probes_.sent());
+    // What reached the partner weighs there like a call: it is taken off what calls may go. So it is in doubt
+    // before it is offered.
+    if (const auto* entry = list_.find(endpoint); entry && status > 0) {
+        doubted_.insert(entry->is.group);
+        decisions_.report({decisions::Standing{entry->is.group, false, {}, 0, true, true}});
+    }
     const auto now = wallNow();
     std::vector<std::string> touched{endpoint};
     if (good) {
--- a/src/trust/probes.cpp
+++ b/src/trust/probes.cpp
@@ -10,6 +10,7 @@
 
 constexpr double kUnknownRate = 0.5;  // calls a second, of a destination that told none
 constexpr double kDemandSpread = 0.2;
+constexpr double kUnservedShare = 0.9;
 
 milliseconds every(double perSecond) {
     return milliseconds(static_cast<std::int64_t>(std::ceil(1000 / std::max(perSecond, 1e-3))));
@@ -28,8 +29,13 @@
     const auto spread =
         milliseconds(static_cast<std::int64_t>(part * static_cast<double>(policy_.jitter.count())));
     auto at = std::max({begun_ + spread, one.notBefore, senderNext_, c.holdUntil});
-    if (const auto it = destinationNext_.find(c.destination); it != destinationNext_.end())
-        at = std::max(at, it->second);
+    if (const auto it = destinationLast_.find(c.destination); it != destinationLast_.end()) {
+        // Where no call may go, probes have the calls' part of the cold budget too.
+        const double share = c.served ? policy_.coldShare : kUnservedShare;
+        const double rate = c.rate > 0 ? c.rate : kUnknownRate;
+        at = std::max(at,
+                      it->second + every(share * policy_.coldBudget * rate / std::max(1, policy_.senders)));
+    }
     return at;
 }
 
@@ -52,9 +58,7 @@
     found.at.reset();
     ++sent_;
     senderNext_ = now + every(policy_.perSecond);
-    const double rate = best->rate > 0 ? best->rate : kUnknownRate;
-    destinationNext_[best->destination] =
-        now + every(policy_.coldShare * policy_.coldBudget * rate / std::max(1, policy_.senders));
+    destinationLast_[best->destination] = now;
     return found;
 }
 
@@ -79,7 +83,7 @@
         destinations.insert(c.destination);
     }
     std::erase_if(tries_, [&](const auto& t) { return !endpoints.count(t.first); });
-    std::erase_if(destinationNext_, [&](const auto& d) { return !destinations.count(d.first); });
+    std::erase_if(destinationLast_, [&](const auto& d) { return !destinations.count(d.first); });
 }
 
 }  // namespace laurelhaven::trust
--- a/src/trust/probes.hpp
+++ b/src/trust/probes.hpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 struct ProbePolicy {
-    double perSecond = 4;         ///< probes of this sender, all destinations together
+    double perSecond = 20;        ///< probes of this sender, all destinations together
     double coldShare = 0.15;      ///< of the calls a second that a cold partner may be sent by this sender
     double coldBudget = 0.38;     ///< that budget, as a share of the told rate: fall-multiple x cold-from
     int senders = 1;              ///< who share it
@@ -33,6 +33,7 @@
     std::size_t held = 0;  ///< messages that wait for the destination now
     double traffic = 0;    ///< calls that it got in the past, as far as remembered
     Moment holdUntil{};    ///< a told wait: no probe before
+    bool served = true;    ///< another endpoint of the destination gets messages
 };
 
 class Probes {
@@ -67,7 +68,7 @@
     std::mt19937_64 chance_;
     Moment begun_{};
     Moment senderNext_{};
-    std::map<std::uint64_t, Moment> destinationNext_;
+    std::map<std::uint64_t, Moment> destinationLast_;
     std::map<std::string, Try> tries_;
     std::uint64_t sent_ = 0;
 };
--- a/src/trust/trust.cpp
+++ b/src/trust/trust.cpp
@@ -100,6 +100,10 @@
         made.level = Level::stale;
         made.until = when(policy.maxAge);
     }
+    // Danger: an endpoint drains in the seconds for which the sender is dead and discovery silent, and the
+    // list is as young as can be. Where a probe may tell, it is asked first.
+    made.probeFirst =
+        made.level == Level::stale || (policy.mayProbe && !evidence.thisLife && !evidence.offered);
     return made;
 }
 
@@ -129,14 +133,16 @@
     const std::string last = std::string("last confirmed by ") + name(evidence.by) + " " +
                              span(judgement.age) + " ago (figure " + figure + " at a half-life of " +
                              span(halfLife) + ")";
+    const std::string first = ", once a probe has answered in the life of this process";
     switch (judgement.level) {
         case Level::confirmed:
             if (evidence.live) return "confirmed: discovery names it now; it gets messages at the usual pace";
-            return "confirmed: " + last + "; it gets messages at the usual pace";
+            return "confirmed: " + last + "; it gets messages at the usual pace" +
+                   (judgement.probeFirst ? first : "");
         case Level::ageing:
             return "ageing: " + last + "; it gets messages at a pace that its deliveries open" +
                    (judgement.oneByOne ? ", one at a time until the first" : "") +
-                   "; discovery would confirm it";
+                   (judgement.probeFirst ? first : "") + "; discovery would confirm it";
         case Level::stale:
             return "stale: " + last + "; it gets no message before " +
                    (policy.mayProbe ? "a probe answers or " : "") + "discovery names it" +
--- a/src/trust/trust.hpp
+++ b/src/trust/trust.hpp
@@ -41,16 +41,18 @@
     WallMs confirmedAt = 0;
     Source by = Source::configuration;
     Against against = Against::nothing;
-    bool live = false;     ///< discovery is heard now, and names it
-    bool offered = false;  ///< it has delivered or answered a probe in this life
+    bool live = false;      ///< discovery is heard now, and names it
+    bool offered = false;   ///< it has delivered or answered a probe in this life
+    bool thisLife = false;  ///< discovery has named it in this life
 };
 
 struct Judgement {
     Level level = Level::stale;
-    double figure = 0;      ///< chance that the entry still holds, in [0, 1]
-    milliseconds age{};     ///< since the confirmation; 0 where that lies in the future
-    bool oneByOne = false;  ///< ageing in the place of a probe: the destination is in doubt
-    WallMs until = 0;       ///< when time alone changes the level; 0: never
+    double figure = 0;        ///< chance that the entry still holds, in [0, 1]
+    milliseconds age{};       ///< since the confirmation; 0 where that lies in the future
+    bool probeFirst = false;  ///< nothing before a probe, whatever the level: what befell it went unseen
+    bool oneByOne = false;    ///< ageing in the place of a probe: the destination is in doubt
+    WallMs until = 0;         ///< when time alone changes the level; 0: never
 };
 
 /// The half-life of an entry in a fleet, learnt from how many entries changed in how long. The posterior mean
--- a/tests/trust/trust_test.cpp
+++ b/tests/trust/trust_test.cpp
@@ -126,6 +126,17 @@
     EXPECT_NE(text.find("refuted: draining"), std::string::npos);
 }
 
+TEST(Trust, AfterARestartAProbeGoesFirstHoweverYoungTheList) {
+    EXPECT_TRUE(judge(seen(1s), probing(), kHalf, kNow).probeFirst);
+    EXPECT_FALSE(judge(seen(1s), Policy{}, kHalf, kNow).probeFirst);  // where probes are not permitted
+    auto e = seen(1s);
+    e.thisLife = true;
+    EXPECT_FALSE(judge(e, probing(), kHalf, kNow).probeFirst);
+    e = seen(24h);
+    e.offered = true;
+    EXPECT_FALSE(judge(e, probing(), kHalf, kNow).probeFirst);
+}
+
 // ---- probes ----
 
 const Moment kStart = Moment(std::chrono::hours(100));
@@ -157,6 +168,7 @@
 TEST(Probes, DemandGoesFirstThenTraffic) {
     ProbePolicy policy;
     policy.jitter = 0ms;
+    policy.perSecond = 4;
     Probes probes(policy, 1);
     probes.begin(kStart);
     const std::vector<Candidate> all{stale("idle", 1, 0, 5), stale("busy", 2, 0, 500),
@@ -171,6 +183,7 @@
 TEST(Probes, StayWithinTheBudgetOfTheSenderAndOfADestination) {
     ProbePolicy policy;
     policy.senders = 2;
+    policy.perSecond = 4;
     Probes probes(policy, 7);
     probes.begin(kStart);
     std::vector<Candidate> all;
@@ -180,12 +193,28 @@
     const auto sent = play(probes, all, kStart + 60s, false);
     std::size_t first = 0;
     for (const auto& [endpoint, at] : sent) first += endpoint[0] == 'a';
-    EXPECT_LE(sent.size(), 4 * 60 + 1);
+    EXPECT_LE(sent.size(), 4 * 60 + 1u);
     // 4/s told, 38% of it while cold, 15% of that for probes, half of that ours: one in 8.8 s.
     EXPECT_LE(first, 60 / 8 + 1);
     EXPECT_GE(first, 4u);
 }
 
+TEST(Probes, WhereNoCallMayGoTheyHaveTheCallsPartOfTheBudget) {
+    ProbePolicy policy;
+    policy.backOff = 1ms;
+    policy.backOffMost = 1ms;
+    const auto count = [&](bool served) {
+        Probes probes(policy, 3);
+        probes.begin(kStart);
+        auto one = stale("a", 1, 1);
+        one.served = served;
+        return play(probes, {one}, kStart + 60s, false).size();
+    };
+    EXPECT_LE(count(true), 15u);   // 0.15 x 0.38 x 4/s: one in 4.4 s
+    EXPECT_LE(count(false), 83u);  // 0.9 of it: 1.4 a second, under what pushes a cold partner over
+    EXPECT_GE(count(false), 60u);
+}
+
 TEST(Probes, BackOffFromSilence) {
     ProbePolicy policy;
     policy.coldShare = 0.25;
