--- a/lab/rig/sender.hpp
+++ b/lab/rig/sender.hpp
@@ -12,7 +12,7 @@
     std::string program;   ///< the sender's program
     std::string settings;  ///< a settings file of ours, or empty
     std::string logLevel = "info";
-    std::string folder;    ///< holds config.json, the state folder and the log
+    std::string folder;  ///< holds config.json, the state folder and the log
     std::string name, listen, discovery;
     std::string known;  ///< in discovery's form
     int senders = 1, self = 0;
--- a/lab/rig/world.hpp
+++ b/lab/rig/world.hpp
@@ -13,10 +13,10 @@
 namespace laurelhaven::lab {
 
 struct Options {
-    std::string program;   ///< the sender
-    std::string settings;  ///< of ours, or empty
+    std::string program;            ///< the sender
+    std::string settings;           ///< of ours, or empty
     std::string logLevel = "info";  ///< of the senders
-    std::string folder;    ///< for state folders and logs
+    std::string folder;             ///< for state folders and logs
     bool keptList = true;  ///< false for a program that knows none: the configuration gives the old list
     std::function<void(const std::string&)> progress;  ///< a line now and then
 };
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,9 +52,9 @@
 constexpr double kFairFloor = 0.5;  // calls a second: least part of a destination taken as ours
 constexpr double kLone = 1.5;  // messages in its time to deliver, for which a rare one stands in an outage
 constexpr double kRateFade = 0.03;  // how fast the best delivered rate is forgotten, a second
-// A destination in doubt: the trickle of an outage until it first delivers. From then on the senders together
-// stay under the fall multiple: it falls over at 2 times 19% of its capacity, and gets 0.25 times that and 1.4
-// times what it delivers.
+// A destination in doubt: the trickle of an outage until it first delivers. From then on the senders
+// together stay under the fall multiple: it falls over at 2 times 19% of its capacity, and gets 0.25 times
+// that and 1.4 times what it delivers.
 constexpr double kDoubtBase = 0.25;  // part of the cold budget that is spent whatever comes back
 constexpr double kDoubtGain = 1.4;   // calls that a delivery allows
 constexpr double kDoubtMost = 8;     // of them that may be saved up
