--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -183,7 +183,7 @@
           options_(options),
           chance_(scenario.seed),
           addresses_(scenario.block),
-          ledger_(milliseconds(15000)),
+          ledger_(milliseconds(15000), milliseconds(options.exact ? 300 : 2000)),
           discovery_(addresses_.next(8500)),
           elsewhere_(addresses_.next(8500)) {}
 
@@ -220,7 +220,7 @@
             model.capacity = model.limit > 0 ? 1.3 * rate : rate;
             model.serve = set_.serve;
             model.probes = set_.mayProbe;
-            model.oneSender = set_.senders == 1;
+            model.oneSender = options_.exact && set_.senders == 1;
             partners_.push_back(
                 std::make_unique<Partner>(model, ledger_, set_.seed * 1000 + static_cast<unsigned>(i)));
             for (int k = 0; k < set_.endpoints; ++k) {
--- a/lab/rig/world.hpp
+++ b/lab/rig/world.hpp
@@ -17,6 +17,9 @@
     std::string settings;           ///< of ours, or empty
     std::string logLevel = "info";  ///< of the senders
     std::string folder;             ///< for state folders and logs
+    /// Drains and waits are held to the rules' milliseconds. Off on a machine that may stall for longer:
+    /// then a send counts 2 s after a drain was told, and waits are left to other tests.
+    bool exact = true;
     bool keptList = true;  ///< false for a program that knows none: the configuration gives the old list
     std::function<void(const std::string&)> progress;  ///< a line now and then
 };
--- a/tests/lab/scenario_test.cpp
+++ b/tests/lab/scenario_test.cpp
@@ -23,6 +23,7 @@
     lab::Options options;
     options.program = PROGRAM;
     options.folder = folder.path;
+    options.exact = false;  // no verdict hangs on how busy the machine is
     Played played;
     played.report = lab::play(lab::scenario(yaml, "test.yaml"), options);
     std::ifstream file(folder.path + "/n0/log");
