--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 # What a fresh machine lacks: the sender's packages, as the deploy file names them, and those of tests and lab.
 PACKAGES = $(shell sed -n 's/^packages = \[\(.*\)\]/\1/p' deploy/balancer.toml | tr -d '",')
-TOOLS = g++ cmake make libgtest-dev clang-format cppcheck libboost-dev
+TOOLS = g++ cmake make libgtest-dev clang-format cppcheck gnuplot-nox
 setup:
 	@missing=; for p in $(PACKAGES) $(TOOLS); do dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
 	if [ -n "$$missing" ]; then apt-get update -q && \
@@ -48,19 +48,20 @@
 	    --suppress=missingIncludeSystem --inline-suppr -I src -I include -I lab $(CHECKED)
 	sh tests/limits.sh .
 
-# Long measurements, for docs/: the table of starts (BASE: a program to play beside ours) and the list at size.
+# Long measurements, for docs/: the table of starts (BASE: a program to play beside ours), the list at size, traces.
 measure: demo
 	build/laurelhaven-lab matrix $(if $(BASE),--against $(BASE))
 	build/list_bench 50000 20000
+	build/trace_bench 20000 10000000
 
-# Fuzzes the readers of the kept list and of discovery's stream, FUZZ seconds each. Wants clang and libclang-rt.
+# Fuzzes the readers of the kept list, of discovery's stream and of traces, FUZZ seconds each. Wants clang and libclang-rt.
 FUZZ ?= 60
 fuzz:
 	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang -DLAURELHAVEN_FUZZ=ON \
 	    -DSTOATHUB_ADAPTER=OFF -DCMAKE_BUILD_TYPE=RelWithDebInfo \
 	    -DCMAKE_CXX_FLAGS="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all"
-	cmake --build build-fuzz -j$(JOBS) --target kept_fuzz registry_fuzz
-	for f in kept registry; do mkdir -p build-fuzz/$$f; \
+	cmake --build build-fuzz -j$(JOBS) --target kept_fuzz registry_fuzz trace_fuzz
+	for f in kept registry trace; do mkdir -p build-fuzz/$$f; \
 	    build-fuzz/$${f}_fuzz -seed=1 -print_final_stats=1 -max_total_time=$(FUZZ) -max_len=8192 build-fuzz/$$f || exit 1; done
 
 # Wants the BALANCER_ variables; see the README.
--- /dev/null
+++ b/lab/desk/desk.hpp
@@ -0,0 +1,76 @@
+// What a modelled partner decides: whether it takes a call on, when that is done, what it tells, and whether
+// it is being pushed over. Pure: times come in as values. The stand-in on sockets and the model in virtual
+// time both ask this one, so that they can differ in all but the partner.
+#pragma once
+
+#include <boost/random/mersenne_twister.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace laurelhaven::lab {
+
+using Instant = std::chrono::nanoseconds;  ///< since any moment, the same for all calls
+
+struct PartnerModel {
+    std::uint64_t destination = 0;
+    double capacity = 4;                    ///< calls a second when warm
+    double limit = 0;                       ///< calls a second that it takes; 0: none but its capacity
+    double told = 4;                        ///< the weight in the list
+    std::chrono::milliseconds serve{200};   ///< usual time of a call
+    double serveSpread = 0.25;              ///< sigma of its logarithm
+    std::chrono::milliseconds depth{1000};  ///< queue: longer than this is full
+    double coldFrom = 0.19;                 ///< share of the capacity right after an outage
+    std::chrono::milliseconds warmUp{14000};
+    double fallMultiple = 2;                    ///< sent more than this times what it can do ...
+    std::chrono::milliseconds fallAfter{2000};  ///< ... for so long, it falls over and stays down
+    bool tellsWaits = true;
+    bool tellsLoad = true;
+    bool probes = true;      ///< answers /health/live
+    bool oneSender = false;  ///< what comes during a wait comes from one that was told
+};
+
+class Desk {
+  public:
+    Desk(const PartnerModel& model, std::uint64_t seed, Instant now);
+
+    /// What becomes of a call.
+    struct Admission {
+        enum class Kind { run, waiting, full } kind = Kind::run;
+        Instant done{};           ///< for run
+        double wait = 0;          ///< for waiting: seconds to tell; 0: none is told
+        bool duringWait = false;  ///< it came while a wait held that its sender was told
+    };
+    /// What an answer tells of the limit.
+    struct Load {
+        double left = 0;   ///< share
+        double limit = 0;  ///< calls a second; 0: none
+    };
+
+    /// Every call and probe weighs, refused ones too. False once it has fallen over.
+    bool arrived(Instant now);
+    /// A call that arrived.
+    Admission call(Instant now);
+    Load load(Instant now) const;
+
+    /// Cold from now on, with an empty queue: it is back, or came back a moment ago.
+    void coolDown(Instant now);
+    /// Calls a second that it can do now.
+    double present(Instant now) const;
+    bool fallen() const { return fallen_; }
+    const PartnerModel& model() const { return model_; }
+
+  private:
+    PartnerModel model_;
+    boost::random::mt19937_64 chance_;
+    bool fallen_ = false;
+    std::optional<Instant> coldAt_;  ///< when it came back; none: long ago
+    Instant busyUntil_;
+    double credit_ = 1;
+    Instant creditAt_;
+    Instant waitFrom_{}, waitTo_{};  ///< a wait was told: nothing may come between them
+    std::deque<Instant> recent_;     ///< arrivals of the last fallAfter
+};
+
+}  // namespace laurelhaven::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,15 +1,82 @@
 // laurelhaven-lab: plays scenarios with real senders and stand-in partners and discovery, all on loopback.
 #include <CLI/CLI.hpp>
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <mutex>
+#include <thread>
 
+#include "agree/agree.hpp"
 #include "log/log.hpp"
 #include "rig/matrix.hpp"
 
 using namespace laurelhaven;
 
+namespace {
+
+/// Days on the model: independent, so all cores have some. The exit status.
+int models(const std::vector<std::string>& files, std::uint64_t seed, int days, bool json) {
+    int status = 0;
+    for (const auto& file : files) {
+        auto scenario = lab::scenarioFile(file);
+        if (seed > 0) scenario.seed = seed;
+        std::vector<std::string> told(static_cast<std::size_t>(days));
+        std::atomic<std::size_t> next{0};
+        std::atomic<bool> kept{true};
+        std::exception_ptr failure;
+        std::mutex mutex;
+        const auto work = [&] {
+            try {
+                for (auto i = next++; i < told.size(); i = next++) {
+                    auto one = scenario;
+                    one.seed += i;
+                    if (days > 1) one.name += " #" + std::to_string(one.seed);
+                    const auto begun = std::chrono::steady_clock::now();
+                    const auto day = agree::modelled(one);
+                    const double took =
+                        std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+                    told[i] = json ? agree::json(one.name, day, took) : agree::text(one.name, day, took);
+                    if (!day.rules.kept()) kept = false;
+                }
+            } catch (...) {
+                const std::lock_guard lock(mutex);
+                failure = std::current_exception();
+            }
+        };
+        std::vector<std::thread> threads;
+        const auto cores =
+            std::min<std::size_t>(std::max(1u, std::thread::hardware_concurrency()), told.size());
+        for (std::size_t i = 0; i < cores; ++i) threads.emplace_back(work);
+        for (auto& thread : threads) thread.join();
+        if (failure) std::rethrow_exception(failure);
+        for (const auto& text : told) std::cout << text;
+        if (!kept) status = 1;
+    }
+    return status;
+}
+
+/// True where neither the model nor loopback broke a rule.
+bool agreed(const std::vector<std::string>& files, std::uint64_t seed, lab::Options options, bool json) {
+    std::vector<agree::Pair> pairs;
+    const auto folder = options.folder;
+    bool kept = true;
+    for (const auto& file : files) {
+        auto scenario = lab::scenarioFile(file);
+        if (seed > 0) scenario.seed = seed;
+        options.folder = folder + "/" + std::to_string(pairs.size());
+        if (options.progress) options.progress(scenario.name);
+        pairs.push_back({scenario.name, agree::modelled(scenario), lab::play(scenario, options)});
+        kept = kept && pairs.back().model.rules.kept() && pairs.back().loopback.clean();
+    }
+    std::cout << (json ? agree::json(pairs) : agree::table(pairs));
+    return kept;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
     CLI::App app("Plays a scenario with real senders and stand-in partners and discovery, on loopback only.",
                  "laurelhaven-lab");
@@ -42,6 +109,20 @@
     table->add_option("--side", side, "so many runs at once")->check(CLI::Range(1, 32));
     table->add_option("--seed", seed, "of the first run");
     table->add_option("--folder", options.folder, "where state and logs go");
+    auto* model =
+        app.add_subcommand("model", "play scenarios in virtual time, on a model of all but the decisions");
+    model->add_option("scenario", files, "scenario files (YAML)")->required()->check(CLI::ExistingFile);
+    int days = 1;
+    model->add_option("--days", days, "so many days of each, by seeds on end, on all cores")
+        ->check(CLI::Range(1, 100000));
+    model->add_option("--seed", seed, "of the first day, in place of the scenarios' own");
+    model->add_flag("--json", json, "as JSON");
+    auto* pairs = app.add_subcommand("agree", "play scenarios on the model and on loopback, side by side");
+    pairs->add_option("scenario", files, "scenario files (YAML)")->required()->check(CLI::ExistingFile);
+    pairs->add_option("--sender", options.program, "the sender's program (default: beside this one)");
+    pairs->add_option("--folder", options.folder, "where state and logs go");
+    pairs->add_option("--seed", seed, "in place of the scenarios' own");
+    pairs->add_flag("--json", json, "as JSON");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
@@ -59,6 +140,13 @@
             std::cout << lab::matrix(matrix, clean);
             return clean ? 0 : 1;
         }
+        if (model->parsed()) return models(files, seed, days, json);
+        if (pairs->parsed()) {
+            const bool kept = agreed(files, seed, options, json);
+            if (kept) std::filesystem::remove_all(options.folder);
+            else std::cerr << "state and logs are in " << options.folder << '\n';
+            return kept ? 0 : 1;
+        }
         for (const auto& file : files) {
             auto scenario = lab::scenarioFile(file);
             if (check->parsed()) {
--- /dev/null
+++ b/lab/model/day.cpp
@@ -0,0 +1,737 @@
+#include "model/day.hpp"
+
+#include <algorithm>
+#include <boost/random/discrete_distribution.hpp>
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/poisson_distribution.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <charconv>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <stdexcept>
+
+#include "decisions/limits.hpp"
+#include "stoathub/stoathub.hpp"
+
+namespace laurelhaven::model {
+namespace {
+
+using lab::Desk;
+using std::chrono::milliseconds;
+using Handle = std::uint32_t;
+
+constexpr Handle kNone = UINT32_MAX;
+// The rule's 250 ms, and 50 more, as sockets have it.
+constexpr milliseconds kDrainGrace{300};
+constexpr milliseconds kPeakSpan{2000};
+// The share of its keep-alive time for which a sender keeps an idle connection; see delivery.
+constexpr double kKeepShare = 0.9;
+constexpr milliseconds kKeepAlive{5000};
+constexpr milliseconds kRest{10};
+
+double seconds(Instant span) { return std::chrono::duration<double>(span).count(); }
+
+enum class What : std::uint8_t { hand, wake, reach, done, answer, expire, cancelled, told, trouble };
+
+struct Event {
+    Instant at{};
+    std::uint64_t order = 0;  // of two at one moment the first made goes first
+    What what = What::hand;
+    Handle which = kNone, extra = 0;
+};
+struct Later {
+    bool operator()(const Event& a, const Event& b) const {
+        return a.at != b.at ? a.at > b.at : a.order > b.order;
+    }
+};
+
+struct Message {  // as its client sees it
+    Handing wants;
+    int tries = 0;
+    bool ended = false;                     // by a notice, or refused for good
+    std::optional<Instant> ranAt, ranLast;  // at the partner
+};
+
+struct HandIn {  // one id, at one sender
+    Handle message = kNone, sender = kNone;
+    Handle out = kNone;  // the call that is out
+    int attempts = 0, failures = 0;
+    bool mayHaveRun = false, over = false, ended = false;
+    Instant sentAt{}, ranAt{};
+};
+
+struct Call {
+    Handle handIn = kNone, sender = kNone, endpoint = kNone;
+    std::uint32_t life = 0;  // of the sender
+    int attempt = 0;
+    Instant sentAt{}, until{};
+    bool warm = false, reached = false, over = false, admitted = false;
+    stoathub::Result result = stoathub::Result::delivered;
+    Instant wait{};
+    int pending = 0;  // events that still name it
+};
+
+struct Endpoint {
+    Handle partner = 0;
+    bool draining = false;
+    std::string id;
+};
+
+struct Sender {
+    std::unique_ptr<stoathub::Sender> module;
+    bool alive = false;
+    std::uint32_t life = 0;
+    std::optional<Instant> wakeAt;
+    int held = 0, out = 0;
+    std::vector<Handle> holds;                   // hand-ins that are owed, some of them over
+    std::vector<std::optional<Instant>> drains;  // by endpoint, when it was told
+    std::vector<Instant> waits;                  // by partner, until when
+    std::vector<std::deque<Instant>> idle;       // by endpoint, since when
+};
+
+struct Side {  // a partner
+    Desk desk;
+    bool down = false, fell = false;
+    std::vector<Handle> endpoints;
+    std::deque<Instant> recent;
+};
+
+class World {
+  public:
+    World(const Fleet& fleet, const std::vector<Handing>& load, std::uint64_t seed)
+        : fleet_(fleet), load_(load), seed_(seed), chance_(seed) {
+        if (fleet.partners.empty()) throw std::invalid_argument("a fleet without partners");
+        if (fleet.senders.count < 1) throw std::invalid_argument("a fleet without senders");
+        for (std::size_t p = 0; p < fleet.partners.size(); ++p) {
+            const auto& partner = fleet.partners[p];
+            sides_.push_back({Desk(partner.does, seed * 1000 + p, Instant{}), false, false, {}, {}});
+            if (partner.coldAtStart) sides_.back().desk.coolDown(Instant{});
+            for (int k = 0; k < partner.endpoints; ++k) {
+                sides_.back().endpoints.push_back(static_cast<Handle>(endpoints_.size()));
+                endpoints_.push_back(
+                    {static_cast<Handle>(p), false, "s-" + std::to_string(p) + "-" + std::to_string(k)});
+                byId_[endpoints_.back().id] = static_cast<Handle>(endpoints_.size() - 1);
+            }
+            day_.partners.push_back({0, partner.does.capacity * seconds(kPeakSpan), {}});
+        }
+        day_.turnedAway.resize(sides_.size());
+        day_.slots.bound = fleet.senders.slots;
+        day_.held.bound = fleet.senders.held;
+        senders_.resize(static_cast<std::size_t>(fleet.senders.count));
+    }
+
+    Day run() {
+        for (Handle s = 0; s < senders_.size(); ++s) begin(s);
+        for (std::size_t i = 0; i < fleet_.troubles.size(); ++i)
+            add(fleet_.troubles[i].at, What::trouble, static_cast<Handle>(i));
+        messages_.reserve(load_.size());
+        // Arrivals are fed in one by one: the queue holds what is near, not the whole day.
+        feed();
+        while (!queue_.empty()) {
+            const auto event = queue_.top();
+            queue_.pop();
+            now_ = event.at;
+            ++day_.events;
+            carryOut(event);
+        }
+        return judge();
+    }
+
+  private:
+    stoathub::Time moduleTime() const { return stoathub::Time(now_); }
+    void add(Instant at, What what, Handle which, Handle extra = 0) {
+        queue_.push({std::max(at, now_), order_++, what, which, extra});
+    }
+
+    void feed() {
+        if (messages_.size() >= load_.size()) return;
+        const auto next = static_cast<Handle>(messages_.size());
+        if (load_[next].partner >= sides_.size())
+            throw std::invalid_argument("load for a partner that is not there");
+        messages_.push_back({load_[next], 0, false, {}, {}});
+        add(load_[next].at, What::hand, next, 1);
+    }
+
+    void carryOut(const Event& e) {
+        switch (e.what) {
+            case What::hand:
+                if (e.extra == 1) feed();
+                handIn(e.which);
+                break;
+            case What::wake: {
+                auto& sender = senders_[e.which];
+                if (!sender.alive || e.extra != sender.life || sender.wakeAt != e.at) break;
+                sender.wakeAt.reset();
+                turn(e.which, {stoathub::Woken{}});
+                break;
+            }
+            case What::reach: reach(e.which); break;
+            case What::done: done(e.which); break;
+            case What::answer: answer(e.which); break;
+            case What::expire: expire(e.which); break;
+            case What::cancelled: cancelled(e.which); break;
+            case What::told: told(e.which, e.extra); break;
+            case What::trouble: trouble(fleet_.troubles[e.which]); break;
+        }
+    }
+
+    // ---- senders ----
+
+    stoathub::Settings settings(Handle self) const {
+        stoathub::Settings s;
+        stoathub::Grade grade;
+        grade.effect = stoathub::Effect::keyed;
+        grade.keyWindow = fleet_.service.keyWindow;
+        grade.aim = fleet_.service.wanted;
+        grade.giveUp = fleet_.service.giveUp;
+        grade.lateShare = fleet_.service.lateShare;
+        s.grades = {grade};
+        s.kinds.resize(1);
+        s.accounts.assign(1 + tenants(), stoathub::Account{1000});
+        s.senders = fleet_.senders.count;
+        s.self = static_cast<int>(self);
+        s.slots = fleet_.senders.slots;
+        s.maxHeld = fleet_.senders.held;
+        s.maxAttempts = fleet_.senders.attempts;
+        s.mayCancel = s.clientsTakeAdvice = true;
+        s.maxAdvice = fleet_.senders.adviceMost;
+        s.connectTimeout = std::chrono::seconds(1);
+        s.keepAlive = kKeepAlive;
+        s.weights = stoathub::Weights::nominal;
+        s.drainGrace = milliseconds(250);
+        s.answerSlack = milliseconds(20);
+        // What is told of the fleet is what holds for its partners on average.
+        const auto& first = fleet_.partners.front().does;
+        s.coldFrom = first.coldFrom;
+        s.warmUp = first.warmUp;
+        s.fallMultiple = first.fallMultiple;
+        s.overloadFor = first.fallAfter;
+        return s;
+    }
+    std::size_t tenants() const {
+        std::uint32_t most = 0;
+        for (const auto& h : load_) most = std::max(most, h.tenant);
+        return most;
+    }
+
+    stoathub::Endpoint listed(const Endpoint& e) const {
+        return {e.id,
+                e.partner,
+                0,
+                0,
+                e.draining ? stoathub::EndpointState::draining : stoathub::EndpointState::inService,
+                fleet_.partners[e.partner].does.told};
+    }
+
+    void begin(Handle s) {
+        auto& sender = senders_[s];
+        sender.alive = true;
+        ++sender.life;
+        sender.module = std::make_unique<stoathub::Sender>(settings(s), seed_ + s + 7919 * sender.life);
+        sender.wakeAt.reset();
+        sender.out = 0;
+        sender.drains.assign(endpoints_.size(), {});
+        sender.waits.assign(sides_.size(), {});
+        sender.idle.assign(endpoints_.size(), {});
+        stoathub::ListNews news;
+        for (std::size_t e = 0; e < endpoints_.size(); ++e) {
+            news.entries.push_back(listed(endpoints_[e]));
+            if (endpoints_[e].draining) sender.drains[e] = now_;
+        }
+        std::vector<stoathub::Event> events{std::move(news)};
+        // What the life before left in its store.
+        std::vector<Handle> kept;
+        for (const auto h : sender.holds) {
+            auto& in = handIns_[h];
+            if (in.over) continue;
+            kept.push_back(h);
+            stoathub::Handed handed;
+            handed.id = std::to_string(h);
+            const auto& m = messages_[in.message];
+            handed.destination = m.wants.partner;
+            handed.tenant = static_cast<int>(m.wants.tenant);
+            handed.grace = m.wants.at + fleet_.service.deadline - now_;
+            stoathub::Past past;
+            past.attempts = in.attempts;
+            past.mayHaveRun = in.mayHaveRun || in.out != kNone;
+            if (past.mayHaveRun) past.sinceRan = now_ - (in.ranAt > Instant{} ? in.ranAt : in.sentAt);
+            in.mayHaveRun = past.mayHaveRun;
+            in.out = kNone;
+            handed.past = past;
+            events.emplace_back(std::move(handed));
+        }
+        sender.holds = std::move(kept);
+        sender.held = static_cast<int>(sender.holds.size());
+        turn(s, events);
+    }
+
+    void peak(Peak& peak, double value) {
+        if (value > peak.most) peak.most = value, peak.at = now_;
+    }
+
+    void release(Handle h) {
+        auto& in = handIns_[h];
+        if (in.over) return;
+        in.over = true;
+        auto& sender = senders_[in.sender];
+        --sender.held;
+        // Now and then the list of what is held is cleared of what is over.
+        if (sender.holds.size() > 64 && sender.holds.size() > 4 * static_cast<std::size_t>(sender.held + 1))
+            std::erase_if(sender.holds, [&](Handle x) { return handIns_[x].over; });
+    }
+
+    struct Verdict {
+        bool refused = false, failed = false;
+        Instant after{};
+    };
+
+    Verdict turn(Handle s, const std::vector<stoathub::Event>& events, Handle own = kNone) {
+        Verdict verdict;
+        auto& sender = senders_[s];
+        for (const auto& action : sender.module->turn(moduleTime(), events)) {
+            if (const auto* send = std::get_if<stoathub::Send>(&action)) {
+                place(s, *send);
+            } else if (const auto* refuse = std::get_if<stoathub::Refuse>(&action)) {
+                const auto h = number(refuse->id);
+                if (h == own) {
+                    verdict.refused = true;
+                    verdict.after = refuse->retryIn;
+                    release(h);
+                } else {
+                    conclude(h, false);
+                }
+            } else if (const auto* fail = std::get_if<stoathub::Fail>(&action)) {
+                const auto h = number(fail->id);
+                if (h == own) verdict.failed = true, release(h);
+                else conclude(h, true);
+            } else if (const auto* cancel = std::get_if<stoathub::Cancel>(&action)) {
+                const auto h = number(cancel->id);
+                const auto c = handIns_[h].out;
+                if (c != kNone && calls_[c].attempt == cancel->attempt) later(now_, What::cancelled, c);
+            } else if (const auto* wake = std::get_if<stoathub::Wake>(&action)) {
+                sender.wakeAt = now_ + wake->after;
+                add(*sender.wakeAt, What::wake, s, sender.life);
+            } else if (const auto* close = std::get_if<stoathub::Close>(&action)) {
+                sender.idle[byId_.at(close->endpoint)].clear();
+            }
+        }
+        return verdict;
+    }
+
+    static Handle number(const std::string& id) {
+        Handle h = kNone;
+        std::from_chars(id.data(), id.data() + id.size(), h);
+        return h;
+    }
+
+    /// A notice: the message ends undelivered.
+    void conclude(Handle h, bool failed) {
+        auto& in = handIns_[h];
+        auto& m = messages_[in.message];
+        if (in.ended || in.over) {
+            ++day_.rules.secondEnds;
+            return;
+        }
+        in.ended = true;
+        m.ended = true;
+        ++(failed ? day_.failed : day_.returned);
+        if (in.out == kNone) release(h);
+    }
+
+    // ---- clients ----
+
+    void again(Handle m, Instant after) {
+        auto& message = messages_[m];
+        if (message.tries < fleet_.clients.tries &&
+            now_ + after < message.wants.at + fleet_.service.deadline) {
+            add(now_ + after, What::hand, m);
+        } else if (!message.ended) {
+            message.ended = true;
+            ++day_.refused;
+        }
+    }
+
+    void handIn(Handle m) {
+        auto& message = messages_[m];
+        ++message.tries;
+        const auto s = static_cast<Handle>(next_++ % senders_.size());
+        auto& sender = senders_[s];
+        const Instant pause = fleet_.clients.pause;
+        if (!sender.alive) {
+            ++day_.noSender;
+            return again(m, pause);
+        }
+        const auto heed = [&](Instant after) {
+            return std::min<Instant>(after > Instant{} ? after : pause, fleet_.clients.adviceMost);
+        };
+        if (sender.held >= fleet_.senders.held) {
+            ++day_.heldFull;
+            return again(m, heed(decisions::kFullAfter));
+        }
+        const auto h = static_cast<Handle>(handIns_.size());
+        handIns_.push_back({});
+        handIns_.back().message = m;
+        handIns_.back().sender = s;
+        sender.holds.push_back(h);
+        ++sender.held;
+        peak(day_.held, sender.held);
+        stoathub::Handed handed;
+        handed.id = std::to_string(h);
+        handed.destination = message.wants.partner;
+        handed.tenant = static_cast<int>(message.wants.tenant);
+        handed.grace = message.wants.at + fleet_.service.deadline - now_;
+        const auto verdict = turn(s, {std::move(handed)}, h);
+        if (verdict.refused)
+            again(m, heed(verdict.after > Instant{} ? verdict.after : Instant(decisions::kFullAfter)));
+        else if (verdict.failed) messages_[m].ended = true, ++day_.failed;
+        else ++day_.taken;
+    }
+
+    // ---- calls ----
+
+    void later(Instant at, What what, Handle c) {
+        ++calls_[c].pending;
+        add(at, what, c);
+    }
+
+    void place(Handle s, const stoathub::Send& send) {
+        const auto h = number(send.id);
+        auto& in = handIns_[h];
+        if (in.over || in.ended || in.sender != s) return;
+        if (in.out != kNone) ++day_.rules.overlaps;
+        Handle c = kNone;
+        if (!free_.empty()) {
+            c = free_.back();
+            free_.pop_back();
+            calls_[c] = {};
+        } else {
+            c = static_cast<Handle>(calls_.size());
+            calls_.emplace_back();
+        }
+        auto& sender = senders_[s];
+        auto& call = calls_[c];
+        call.handIn = h;
+        call.sender = s;
+        call.endpoint = byId_.at(send.endpoint);
+        call.life = sender.life;
+        call.attempt = in.attempts++;
+        call.sentAt = now_;
+        call.until = std::chrono::duration_cast<Instant>(send.tryUntil.time_since_epoch());
+        in.out = c;
+        peak(day_.slots, ++sender.out);
+        auto& idle = sender.idle[call.endpoint];
+        const auto keep = std::chrono::duration_cast<Instant>(kKeepShare * Instant(kKeepAlive));
+        std::erase_if(idle, [&](Instant since) { return now_ - since > keep; });
+        // The one used last that has rested.
+        for (auto it = idle.rbegin(); it != idle.rend(); ++it) {
+            if (now_ - *it < kRest) continue;
+            idle.erase(std::next(it).base());
+            call.warm = true;
+            break;
+        }
+        const auto& net = fleet_.network;
+        later(now_ + net.delay + (call.warm ? Instant{} : Instant(net.connect)), What::reach, c);
+        later(call.until, What::expire, c);
+    }
+
+    bool live(const Call& call) const {
+        const auto& sender = senders_[call.sender];
+        return !call.over && sender.alive && sender.life == call.life;
+    }
+
+    /// The last event that names a call gives its place back.
+    void drop(Handle c) {
+        if (--calls_[c].pending == 0) free_.push_back(c);
+    }
+
+    void reach(Handle c) {
+        auto& call = calls_[c];
+        if (live(call)) arrive(c);
+        drop(c);
+    }
+
+    void arrive(Handle c) {
+        auto& call = calls_[c];
+        auto& sender = senders_[call.sender];
+        auto& in = handIns_[call.handIn];
+        const auto& endpoint = endpoints_[call.endpoint];
+        auto& side = sides_[endpoint.partner];
+        const auto back = now_ + fleet_.network.delay;
+        // Asked again just before the first byte, as the facade does.
+        if (sender.drains[call.endpoint] || now_ < sender.waits[endpoint.partner] || in.ended ||
+            now_ >= call.until)
+            return outcome(c, stoathub::Result::moot);
+        call.reached = true;
+        in.sentAt = now_;
+        ++day_.calls;
+        if (side.down) {
+            call.result = stoathub::Result::connectFailed;
+            return later(back, What::answer, c);
+        }
+        if (endpoint.draining && sender.drains[call.endpoint] &&
+            now_ - *sender.drains[call.endpoint] > kDrainGrace)
+            ++day_.rules.toDrained;
+        const bool was = side.desk.fallen();
+        if (!side.desk.arrived(now_)) {
+            day_.rules.fallOvers += !was;
+            call.result = stoathub::Result::full;
+            return later(back, What::answer, c);
+        }
+        if (endpoint.draining) {
+            call.result = stoathub::Result::full;
+            return later(back, What::answer, c);
+        }
+        const auto admission = side.desk.call(now_);
+        using Kind = Desk::Admission::Kind;
+        day_.rules.duringWait += admission.duringWait;
+        if (admission.kind != Kind::run) {
+            call.result = stoathub::Result::full;
+            call.wait = std::chrono::duration_cast<Instant>(std::chrono::duration<double>(admission.wait));
+            ++day_.refusedCalls;
+            ++day_.turnedAway[endpoint.partner];
+            return later(back, What::answer, c);
+        }
+        call.admitted = true;
+        side.recent.push_back(now_);
+        while (now_ - side.recent.front() > kPeakSpan) side.recent.pop_front();
+        peak(day_.partners[endpoint.partner], static_cast<double>(side.recent.size()));
+        later(admission.done, What::done, c);
+    }
+
+    /// The work is done, whether or not anybody waits for it.
+    void done(Handle c) {
+        auto& call = calls_[c];
+        auto& side = sides_[endpoints_[call.endpoint].partner];
+        if (side.down || side.desk.fallen()) {
+            call.result = stoathub::Result::reset;
+        } else {
+            auto& m = messages_[handIns_[call.handIn].message];
+            if (!m.ranAt) m.ranAt = now_;
+            // Receivers drop a repeat inside the window; later it is a second effect.
+            else if (now_ - *m.ranAt > fleet_.service.keyWindow) ++day_.rules.doubles;
+            call.result = stoathub::Result::delivered;
+        }
+        later(now_ + fleet_.network.delay, What::answer, c);
+        drop(c);
+    }
+
+    void answer(Handle c) {
+        auto& call = calls_[c];
+        if (live(call)) {
+            if (call.result == stoathub::Result::delivered || call.result == stoathub::Result::full)
+                senders_[call.sender].idle[call.endpoint].push_back(now_);
+            outcome(c, call.result);
+        }
+        drop(c);
+    }
+
+    void expire(Handle c) {
+        if (live(calls_[c]))
+            outcome(c, calls_[c].reached ? stoathub::Result::timeout : stoathub::Result::connectFailed);
+        drop(c);
+    }
+
+    void cancelled(Handle c) {
+        if (live(calls_[c]))
+            outcome(c, calls_[c].reached ? stoathub::Result::cancelled : stoathub::Result::moot);
+        drop(c);
+    }
+
+    void outcome(Handle c, stoathub::Result result) {
+        using stoathub::Result;
+        auto& call = calls_[c];
+        auto& sender = senders_[call.sender];
+        auto& in = handIns_[call.handIn];
+        const auto& does = fleet_.partners[endpoints_[call.endpoint].partner].does;
+        call.over = true;
+        in.out = kNone;
+        --sender.out;
+        if (result == Result::error || result == Result::timeout || result == Result::reset ||
+            result == Result::cancelled) {
+            if (!in.mayHaveRun) in.ranAt = call.sentAt;
+            in.mayHaveRun = true;
+        }
+        stoathub::Outcome o;
+        o.id = std::to_string(call.handIn);
+        o.endpoint = endpoints_[call.endpoint].id;
+        o.attempt = call.attempt;
+        o.result = result;
+        o.took = now_ - call.sentAt;
+        o.wait = call.wait;
+        o.over = result == Result::delivered;
+        if (call.wait > Instant{}) {
+            auto& until = sender.waits[endpoints_[call.endpoint].partner];
+            until = std::max(until, now_ + call.wait);
+        }
+        if (does.tellsLoad && (result == Result::delivered || result == Result::full)) {
+            const auto load = sides_[endpoints_[call.endpoint].partner].desk.load(now_);
+            o.allowanceLeft = load.left;
+            o.allowedRate = load.limit;
+        }
+        if (o.over || in.ended) release(call.handIn);
+        turn(call.sender, {std::move(o)});
+    }
+
+    // ---- troubles ----
+
+    void told(Handle s, Handle e) {
+        auto& sender = senders_[s];
+        if (!sender.alive) return;
+        if (!sender.drains[e]) sender.drains[e] = now_;
+        sender.idle[e].clear();
+        turn(s, {stoathub::ListNews{stoathub::ListKind::changes, {listed(endpoints_[e])}}});
+    }
+
+    void trouble(const Trouble& t) {
+        switch (t.kind) {
+            case Trouble::Kind::outage: {
+                auto& side = sides_.at(t.which);
+                side.down = true;
+                // Its connections are reset: who waits for an answer knows at once.
+                for (Handle c = 0; c < calls_.size(); ++c) {
+                    auto& call = calls_[c];
+                    if (call.pending == 0 || call.over || !call.admitted) continue;
+                    if (endpoints_[call.endpoint].partner != t.which || !live(call)) continue;
+                    outcome(c, stoathub::Result::reset);
+                }
+                for (auto& sender : senders_)
+                    for (const auto e : side.endpoints)
+                        if (!sender.idle.empty()) sender.idle[e].clear();
+                break;
+            }
+            case Trouble::Kind::back: {
+                auto& side = sides_.at(t.which);
+                side.desk.coolDown(now_);
+                if (!side.desk.fallen()) side.down = false;
+                break;
+            }
+            case Trouble::Kind::drain:
+                for (const auto e : sides_.at(t.which).endpoints) {
+                    if (endpoints_[e].draining) continue;
+                    endpoints_[e].draining = true;
+                    for (Handle s = 0; s < senders_.size(); ++s)
+                        add(now_ + fleet_.network.list, What::told, s, e);
+                    break;
+                }
+                break;
+            case Trouble::Kind::kill: {
+                auto& sender = senders_.at(t.which);
+                sender.alive = false;
+                sender.module.reset();
+                break;
+            }
+            case Trouble::Kind::start:
+                if (!senders_.at(t.which).alive) begin(static_cast<Handle>(t.which));
+                break;
+        }
+    }
+
+    // ---- the verdict ----
+
+    Day judge() {
+        day_.messages = messages_.size();
+        Instant last{};
+        for (const auto& m : messages_) last = std::max(last, m.wants.at);
+        const auto n = static_cast<std::size_t>(last / std::chrono::seconds(1)) + 1;
+        std::vector<double> asked(n), got(n);
+        std::map<std::uint32_t, std::pair<double, double>> byTenant;
+        for (const auto& m : messages_) {
+            double worth = 0;
+            if (m.ranAt) {
+                ++day_.delivered;
+                const auto span = seconds(fleet_.service.deadline - fleet_.service.wanted);
+                const double late = seconds(*m.ranAt - m.wants.at - fleet_.service.wanted);
+                worth =
+                    1 - (1 - fleet_.service.lateShare) * std::clamp(late / std::max(0.001, span), 0.0, 1.0);
+            } else if (!m.ended) {
+                ++day_.rules.lost;
+            }
+            const auto second = static_cast<std::size_t>(m.wants.at / std::chrono::seconds(1));
+            asked[second] += 1, got[second] += worth;
+            auto& tenant = byTenant[m.wants.tenant];
+            tenant.first += 1, tenant.second += worth;
+        }
+        double a = 0, g = 0;
+        for (std::size_t i = 0; i < n; ++i) {
+            a += asked[i], g += got[i];
+            day_.service.push_back(asked[i] > 0 ? got[i] / asked[i] : -1);
+        }
+        day_.whole = a > 0 ? g / a : 1;
+        day_.worst10 = day_.whole;
+        constexpr std::size_t kWindow = 10;
+        for (std::size_t i = 0; i + kWindow <= n; ++i) {
+            double wa = 0, wg = 0;
+            for (std::size_t k = i; k < i + kWindow; ++k) wa += asked[k], wg += got[k];
+            if (wa > 0) day_.worst10 = std::min(day_.worst10, wg / wa);
+        }
+        day_.worstTenant = 1;
+        for (const auto& [tenant, sums] : byTenant)
+            day_.worstTenant = std::min(day_.worstTenant, sums.second / sums.first);
+        return std::move(day_);
+    }
+
+    const Fleet& fleet_;
+    const std::vector<Handing>& load_;
+    std::uint64_t seed_;
+    boost::random::mt19937_64 chance_;
+    std::priority_queue<Event, std::vector<Event>, Later> queue_;
+    std::uint64_t order_ = 0, next_ = 0;
+    Instant now_{};
+    std::vector<Message> messages_;
+    std::vector<HandIn> handIns_;
+    std::vector<Call> calls_;
+    std::vector<Handle> free_;
+    std::vector<Endpoint> endpoints_;
+    std::map<std::string, Handle> byId_;
+    std::vector<Sender> senders_;
+    std::vector<Side> sides_;
+    Day day_;
+};
+
+}  // namespace
+
+Day play(const Fleet& fleet, const std::vector<Handing>& load, std::uint64_t seed) {
+    return World(fleet, load, seed).run();
+}
+
+std::vector<Handing> draw(const Shape& shape, std::uint64_t seed) {
+    boost::random::mt19937_64 chance(seed);
+    const boost::random::discrete_distribution<std::uint32_t> which(shape.weights.begin(),
+                                                                    shape.weights.end());
+    boost::random::uniform_01<double> uniform;
+    std::vector<Handing> all;
+    const auto span = std::chrono::duration<double>(shape.span).count();
+    const auto at = [](double s) {
+        return std::chrono::duration_cast<Instant>(std::chrono::duration<double>(s));
+    };
+    const auto tenant = [&] {
+        return static_cast<std::uint32_t>(uniform(chance) * shape.tenants) % shape.tenants;
+    };
+    const auto stream = [&](double rate, const auto& each) {
+        if (rate <= 0) return;
+        const boost::random::exponential_distribution<double> gap(rate);
+        for (double t = gap(chance); t < span; t += gap(chance)) each(t);
+    };
+    stream(shape.rate * (1 - shape.clumped), [&](double t) {
+        all.push_back({at(t), which(chance), tenant()});
+    });
+    // A clump has its size by chance too, one at least.
+    const boost::random::poisson_distribution<int> more(std::max(0.001, shape.clump - 1));
+    stream(shape.rate * shape.clumped / std::max(1.0, shape.clump), [&](double t) {
+        const auto partner = which(chance);
+        const auto owner = tenant();
+        const int n = 1 + more(chance);
+        for (int i = 0; i < n; ++i) {
+            const double off = uniform(chance) * std::chrono::duration<double>(shape.within).count();
+            if (t + off < span) all.push_back({at(t + off), partner, owner});
+        }
+    });
+    std::stable_sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    return all;
+}
+
+}  // namespace laurelhaven::model
--- /dev/null
+++ b/lab/model/day.hpp
@@ -0,0 +1,117 @@
+// One day in virtual time: the real decision module, one instance a sender, against modelled clients,
+// network, partners and troubles. Deterministic for a seed. It holds the rules to account on every run, as
+// the ledger of the stand-ins does, and says which resource was nearest to its bound.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "desk/desk.hpp"
+
+namespace laurelhaven::model {
+
+using lab::Instant;  ///< since the day's beginning
+
+struct Partner {
+    lab::PartnerModel does;
+    int endpoints = 1;
+    bool coldAtStart = false;
+};
+
+struct Senders {
+    int count = 2;
+    int slots = 24;    ///< calls out at once, of each
+    int held = 400;    ///< messages held at once, of each
+    int attempts = 8;  ///< for one message
+    std::chrono::milliseconds adviceMost{3000};
+};
+
+struct Clients {
+    int tries = 4;                               ///< of one message, the first included
+    std::chrono::milliseconds pause{400};        ///< after a refusal that advises nothing, or no answer
+    std::chrono::milliseconds adviceMost{3000};  ///< they come again after so long at most
+};
+
+struct Network {
+    std::chrono::microseconds delay{100};    ///< one way, between a sender and a partner
+    std::chrono::microseconds connect{200};  ///< more, where no connection stands idle
+    std::chrono::milliseconds list{5};       ///< until a change of the list has come
+};
+
+struct Service {
+    std::chrono::milliseconds wanted{4000};  ///< delivered within this a message has its full worth ...
+    std::chrono::milliseconds deadline{
+        10000};  ///< ... and `lateShare` of it at the last moment, evenly between
+    double lateShare = 0.5;
+    std::chrono::milliseconds giveUp{28000}, keyWindow{15000};
+};
+
+struct Trouble {
+    enum class Kind { outage, back, drain, kill, start } kind = Kind::outage;
+    Instant at{};
+    std::size_t which = 0;  ///< partner or sender, by position
+};
+
+struct Fleet {
+    std::vector<Partner> partners;
+    Senders senders;
+    Clients clients;
+    Network network;
+    Service service;
+    std::vector<Trouble> troubles;
+};
+
+/// A message that a client wants delivered.
+struct Handing {
+    Instant at{};
+    std::uint32_t partner = 0;  ///< by position
+    std::uint32_t tenant = 0;
+};
+
+struct Rules {
+    std::uint64_t overlaps = 0, doubles = 0, secondEnds = 0, toDrained = 0, duringWait = 0, fallOvers = 0,
+                  lost = 0;
+    bool kept() const {
+        return overlaps + doubles + secondEnds + toDrained + duringWait + fallOvers + lost == 0;
+    }
+};
+
+/// How far something was used up, at its most.
+struct Peak {
+    double most = 0, bound = 0;
+    Instant at{};
+    double share() const { return bound > 0 ? most / bound : 0; }
+};
+
+struct Day {
+    std::uint64_t messages = 0, taken = 0, delivered = 0, failed = 0, returned = 0, refused = 0;
+    std::uint64_t calls = 0, refusedCalls = 0, heldFull = 0, noSender = 0, events = 0;
+    std::vector<double>
+        service;  ///< by second of handing in: worth delivered of that asked for; -1: nothing asked
+    double whole = 0, worst10 = 0, worstTenant = 0;
+    /// The operators' goal: 60% the whole, 30% the worst 10 s, 10% the worst client.
+    double score() const { return 0.6 * whole + 0.3 * worst10 + 0.1 * worstTenant; }
+    Rules rules;
+    Peak slots, held;                       ///< of the sender that came nearest
+    std::vector<Peak> partners;             ///< calls run in any 2 s, of what the partner does in 2 s
+    std::vector<std::uint64_t> turnedAway;  ///< calls refused by each partner
+};
+
+/// Throws std::invalid_argument where the fleet makes no sense. `load` is in order of time.
+Day play(const Fleet& fleet, const std::vector<Handing>& load, std::uint64_t seed);
+
+/// Poisson arrivals at `rate` a second over `span`, for partners in proportion to `weights`. A share
+/// `clumped` of the messages comes in clumps: about `clump` at once for one partner, within `within`.
+struct Shape {
+    double rate = 10;
+    Instant span{};
+    std::vector<double> weights;
+    double clumped = 0, clump = 20;
+    std::chrono::milliseconds within{500};
+    std::uint32_t tenants = 1;
+};
+std::vector<Handing> draw(const Shape& shape, std::uint64_t seed);
+
+}  // namespace laurelhaven::model
--- a/lab/rig/scenario.cpp
+++ b/lab/rig/scenario.cpp
@@ -72,6 +72,8 @@
         if (root["discovery"]) s.discovery = Discovery::mode(root["discovery"].as<std::string>());
         Section(root, "load")
             .take("of-limits", s.load, yaml::share)
+            .take("clumped", s.clumped, yaml::share)
+            .plain("clump", s.clump)
             .take("for", s.duration, yaml::time)
             .take("deadline", s.deadline, yaml::time)
             .take("wanted", s.wanted, yaml::time);
--- a/lab/rig/scenario.hpp
+++ b/lab/rig/scenario.hpp
@@ -58,7 +58,9 @@
     Discovery::Mode discovery = Discovery::Mode::up;
     std::vector<Event> events;  ///< in order of time
 
-    double load = 0.5;  ///< of what the partners take together
+    double load = 0.5;   ///< of what the partners take together
+    double clumped = 0;  ///< share of the messages that comes in clumps for one partner ...
+    double clump = 20;   ///< ... of so many on average
     milliseconds duration{15000};
     milliseconds deadline{10000};
     milliseconds wanted{4000};
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -210,24 +210,15 @@
 
     void makeFleet() {
         for (int i = 0; i < set_.partners; ++i) {
-            PartnerModel model;
-            model.destination = static_cast<std::uint64_t>(100 + i);
-            const double part = set_.partners > 1 ? static_cast<double>(i) / (set_.partners - 1) : 0;
-            // The first are the largest.
-            const double rate = set_.rateMost - part * (set_.rateMost - set_.rateLeast);
-            model.told = rate;
-            model.limit = set_.limits && i % 2 == 0 ? rate : 0;
-            model.capacity = model.limit > 0 ? 1.3 * rate : rate;
-            model.serve = set_.serve;
-            model.probes = set_.mayProbe;
+            auto model = partner(set_, i);
             model.oneSender = options_.exact && set_.senders == 1;
             partners_.push_back(
                 std::make_unique<Partner>(model, ledger_, set_.seed * 1000 + static_cast<unsigned>(i)));
             for (int k = 0; k < set_.endpoints; ++k) {
                 const auto name = fmt::format("s-{}-{}", i, k);
                 const auto address = addresses_.next(8443);
-                discovery_.tell(
-                    {name, address, "z", "partner", model.destination, listing::Status::serving, rate, 0});
+                discovery_.tell({name, address, "z", "partner", model.destination, listing::Status::serving,
+                                 model.told, 0});
                 partners_.back()->open(name, address);
             }
         }
@@ -372,16 +363,12 @@
         std::vector<std::string> addresses;
         for (const auto& sender : senders_) addresses.push_back(sender->plan().listen);
         clients_ = std::make_unique<Clients>(addresses, ledger_, set_.deadline);
-        std::vector<double> rates;
-        double all = 0;
-        for (const auto& p : partners_) rates.push_back(p->model().told), all += p->model().told;
-        std::discrete_distribution<std::size_t> which(rates.begin(), rates.end());
-        std::exponential_distribution<double> gap(std::max(0.001, set_.load * all));
+        const auto load = model::draw(shape(set_), set_.seed);
         begun_ = Steady::now();
-        auto next = begun_;
         auto event = set_.events.begin();
         auto spoken = begun_;
-        for (std::size_t n = 0; next < begun_ + set_.duration;) {
+        for (std::size_t n = 0; n < load.size();) {
+            const auto next = begun_ + std::chrono::duration_cast<Moment::duration>(load[n].at);
             const auto eventAt = event != set_.events.end() ? begun_ + event->at : Moment::max();
             std::this_thread::sleep_until(std::min(next, eventAt));
             if (eventAt <= next) {
@@ -399,11 +386,10 @@
                 continue;
             }
             Wanted message;
-            message.destination = partners_[which(chance_)]->model().destination;
+            message.destination = partners_[load[n].partner]->model().destination;
             message.key = fmt::format("{:08x}{:06d}", set_.seed, n++);
             message.at = Steady::now();
             clients_->hand(std::move(message));
-            next += std::chrono::duration_cast<Moment::duration>(std::chrono::duration<double>(gap(chance_)));
             if (Steady::now() - spoken > std::chrono::seconds(2)) {
                 spoken = Steady::now();
                 const auto seconds =
@@ -510,6 +496,34 @@
 
 }  // namespace
 
+PartnerModel partner(const Scenario& scenario, int i) {
+    PartnerModel model;
+    model.destination = static_cast<std::uint64_t>(100 + i);
+    const double part = scenario.partners > 1 ? static_cast<double>(i) / (scenario.partners - 1) : 0;
+    // The first are the largest.
+    const double rate = scenario.rateMost - part * (scenario.rateMost - scenario.rateLeast);
+    model.told = rate;
+    model.limit = scenario.limits && i % 2 == 0 ? rate : 0;
+    model.capacity = model.limit > 0 ? 1.3 * rate : rate;
+    model.serve = scenario.serve;
+    model.probes = scenario.mayProbe;
+    return model;
+}
+
+model::Shape shape(const Scenario& scenario) {
+    model::Shape made;
+    double all = 0;
+    for (int i = 0; i < scenario.partners; ++i) {
+        made.weights.push_back(partner(scenario, i).told);
+        all += made.weights.back();
+    }
+    made.rate = std::max(0.001, scenario.load * all);
+    made.span = scenario.duration;
+    made.clumped = scenario.clumped;
+    made.clump = scenario.clump;
+    return made;
+}
+
 Report play(const Scenario& scenario, const Options& options) { return World(scenario, options).play(); }
 
 bool Report::clean() const {
--- a/lab/rig/world.hpp
+++ b/lab/rig/world.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "model/day.hpp"
 #include "rig/scenario.hpp"
 #include "standin/ledger.hpp"
 
@@ -43,6 +44,10 @@
     std::string text() const;
 };
 
+/// What a scenario says of one of its partners, by position, and of its load: also for the model.
+PartnerModel partner(const Scenario& scenario, int i);
+model::Shape shape(const Scenario& scenario);
+
 /// Throws Bad or std::exception where it can't be played.
 Report play(const Scenario& scenario, const Options& options);
 
--- a/lab/standin/partner.cpp
+++ b/lab/standin/partner.cpp
@@ -10,10 +10,7 @@
 
 namespace {
 
-double seconds(std::chrono::nanoseconds span) { return std::chrono::duration<double>(span).count(); }
-Moment::duration span(double s) {
-    return std::chrono::duration_cast<Moment::duration>(std::chrono::duration<double>(s));
-}
+Instant instant(Moment at) { return at.time_since_epoch(); }
 
 std::string decimal(double value) {
     char text[32];
@@ -21,15 +18,10 @@
     return text;
 }
 
-constexpr double kSlack = 2;              // calls over the budget that chance may bring
-constexpr milliseconds kLetThrough{100};  // what was on its way when the wait was told
-constexpr milliseconds kRounding{2};
-constexpr double kWaitMost = 0.9;  // seconds that a refusal tells to wait, at most
-
 }  // namespace
 
 Partner::Partner(const PartnerModel& model, Ledger& ledger, std::uint64_t seed)
-    : model_(model), ledger_(ledger), chance_(seed), busyUntil_(Steady::now()), creditAt_(Steady::now()) {}
+    : ledger_(ledger), desk_(model, seed, instant(Steady::now())) {}
 
 Partner::~Partner() {
     for (auto& [id, point] : endpoints_) point->server->stop();
@@ -67,16 +59,14 @@
 
 void Partner::coolDown() {
     const std::lock_guard lock(mutex_);
-    coldAt_ = busyUntil_ = Steady::now();
-    everCold_ = true;
-    recent_.clear();
+    desk_.coolDown(instant(Steady::now()));
 }
 
 void Partner::up() {
     coolDown();
     {
         const std::lock_guard lock(mutex_);
-        if (fallen_) return;
+        if (desk_.fallen()) return;
         isDown_ = false;
     }
     for (auto& [id, point] : endpoints_) point->server->start();
@@ -84,41 +74,28 @@
 
 bool Partner::fallen() const {
     const std::lock_guard lock(mutex_);
-    return fallen_;
+    return desk_.fallen();
 }
 
-/// Calls a second that it can do now.
-double Partner::present(Moment now) const {
-    if (!everCold_) return model_.capacity;
-    const double part = std::min(1.0, seconds(now - coldAt_) / std::max(0.001, seconds(model_.warmUp)));
-    return model_.capacity * (model_.coldFrom + (1 - model_.coldFrom) * part);
-}
-
-/// Every call and probe weighs, refused ones too. False once it has fallen over.
+/// False once it has fallen over.
 bool Partner::arrived(Moment now) {
-    if (fallen_) return false;
-    recent_.push_back(now);
-    std::erase_if(recent_, [&](Moment at) { return now - at > model_.fallAfter; });
-    const bool warm = !everCold_ || now - coldAt_ > model_.warmUp;
-    if (warm) return true;
-    const double budget = model_.fallMultiple * present(now) * seconds(model_.fallAfter) + kSlack;
-    if (static_cast<double>(recent_.size()) <= budget) return true;
-    fallen_ = true;
-    ledger_.fellOver(model_.destination);
+    const bool was = desk_.fallen();
+    if (desk_.arrived(instant(now))) return true;
+    if (!was) ledger_.fellOver(model().destination);
     return false;
 }
 
-http::Fields Partner::load(Moment now) {
-    if (!model_.tellsLoad) return {};
-    if (model_.limit <= 0) return {{"Srv-Load", "x0=0,x1=0"}};
-    const double left = std::clamp(credit_ + model_.limit * seconds(now - creditAt_), 0.0, model_.limit);
-    return {{"Srv-Load", "x0=" + decimal(left / model_.limit) + ",x1=" + decimal(model_.limit)}};
+http::Fields Partner::load(Moment now) const {
+    if (!model().tellsLoad) return {};
+    const auto load = desk_.load(instant(now));
+    if (load.limit <= 0) return {{"Srv-Load", "x0=0,x1=0"}};
+    return {{"Srv-Load", "x0=" + decimal(load.left) + ",x1=" + decimal(load.limit)}};
 }
 
 bool Partner::answer(Point& point, const http::Message& message, Connection& connection) {
     if (message.target == "/health/live" || message.target == "/stats") {
-        if (!model_.probes) return connection.send(http::response(404, {}, "", true));
-        ledger_.probed(point.id, model_.destination);
+        if (!model().probes) return connection.send(http::response(404, {}, "", true));
+        ledger_.probed(point.id, model().destination);
         const std::lock_guard lock(mutex_);
         const auto now = Steady::now();
         const bool up = arrived(now) && !point.draining;
@@ -133,9 +110,9 @@
 bool Partner::call(Point& point, const http::Message& message, Connection& connection) {
     CallRecord record;
     record.endpoint = point.id;
-    record.destination = model_.destination;
+    record.destination = model().destination;
     if (const auto* id = message.headers.find("Req-Id")) record.id = *id;
-    const auto verdict = ledger_.begun(point.id, model_.destination, record.id);
+    const auto verdict = ledger_.begun(point.id, model().destination, record.id);
     const auto finish = [&](Outcome outcome, int status, http::Fields fields) {
         record.outcome = outcome;
         record.at = Steady::now();
@@ -155,36 +132,25 @@
         }
         if (point.draining) return lock.unlock(), finish(Outcome::drained, 503, {});
         auto fields = load(now);
-        if (model_.limit > 0) {
-            if (model_.oneSender && now > waitFrom_ && now < waitTo_) ledger_.waitBroken();
-            credit_ = std::min(model_.limit, credit_ + model_.limit * seconds(now - creditAt_));
-            creditAt_ = now;
-            if (credit_ < 1) {
-                const double wait = std::min(kWaitMost, (1 - credit_) / model_.limit + 0.05);
-                if (model_.tellsWaits) {
-                    fields.emplace_back("Retry-After", decimal(wait));
-                    waitFrom_ = now + kLetThrough;
-                    waitTo_ = std::max(waitTo_, now + span(wait) - kRounding);
-                }
-                lock.unlock();
-                return finish(Outcome::waiting, model_.tellsWaits ? 429 : 503, fields);
-            }
-            credit_ -= 1;
+        const auto admission = desk_.call(instant(now));
+        using Kind = Desk::Admission::Kind;
+        if (admission.duringWait) ledger_.waitBroken();
+        if (admission.kind == Kind::waiting) {
+            if (admission.wait > 0) fields.emplace_back("Retry-After", decimal(admission.wait));
+            lock.unlock();
+            return finish(Outcome::waiting, admission.wait > 0 ? 429 : 503, fields);
         }
-        const auto from = std::max(now, busyUntil_);
-        if (from - now > model_.depth) {
+        if (admission.kind == Kind::full) {
             lock.unlock();
             return finish(Outcome::full, 503, fields);
         }
-        busyUntil_ = from + span(1 / present(now));
-        std::lognormal_distribution<double> took(std::log(seconds(model_.serve)), model_.serveSpread);
-        done = from + span(took(chance_));
+        done = Moment(std::chrono::duration_cast<Moment::duration>(admission.done));
     }
     // The work goes on whether or not the caller waits for it.
     std::this_thread::sleep_until(done);
     {
         const std::lock_guard lock(mutex_);
-        if (isDown_ || fallen_) {
+        if (isDown_ || desk_.fallen()) {
             record.outcome = Outcome::broken;
             record.at = Steady::now();
             ledger_.ended(record);
--- a/lab/standin/partner.hpp
+++ b/lab/standin/partner.hpp
@@ -7,34 +7,16 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <random>
 #include <string>
 #include <vector>
 
+#include "desk/desk.hpp"
 #include "listing/listing.hpp"
 #include "standin/ledger.hpp"
 #include "standin/server.hpp"
 
 namespace laurelhaven::lab {
 
-struct PartnerModel {
-    std::uint64_t destination = 0;
-    double capacity = 4;                    ///< calls a second when warm
-    double limit = 0;                       ///< calls a second that it takes; 0: none but its capacity
-    double told = 4;                        ///< the weight in the list
-    std::chrono::milliseconds serve{200};   ///< usual time of a call
-    double serveSpread = 0.25;              ///< sigma of its logarithm
-    std::chrono::milliseconds depth{1000};  ///< queue: longer than this is full
-    double coldFrom = 0.19;                 ///< share of the capacity right after an outage
-    std::chrono::milliseconds warmUp{14000};
-    double fallMultiple = 2;                    ///< sent more than this times what it can do ...
-    std::chrono::milliseconds fallAfter{2000};  ///< ... for so long, it falls over and stays down
-    bool tellsWaits = true;
-    bool tellsLoad = true;
-    bool probes = true;      ///< answers /health/live
-    bool oneSender = false;  ///< what comes during a wait comes from one that was told
-};
-
 class Partner {
   public:
     Partner(const PartnerModel& model, Ledger& ledger, std::uint64_t seed);
@@ -55,7 +37,7 @@
     /// Cold since now, without having been down: it came back a moment ago.
     void coolDown();
     bool fallen() const;
-    const PartnerModel& model() const { return model_; }
+    const PartnerModel& model() const { return desk_.model(); }
 
   private:
     struct Point {
@@ -65,24 +47,14 @@
     };
     bool answer(Point& point, const http::Message& message, Connection& connection);
     bool call(Point& point, const http::Message& message, Connection& connection);
-    double present(Moment now) const;
     bool arrived(Moment now);
-    http::Fields load(Moment now);
-    void fallOver();
+    http::Fields load(Moment now) const;
 
-    PartnerModel model_;
     Ledger& ledger_;
     mutable std::mutex mutex_;
-    std::mt19937_64 chance_;
+    Desk desk_;
     std::map<std::string, std::unique_ptr<Point>> endpoints_;
-    bool isDown_ = false, fallen_ = false;
-    Moment coldAt_{};  // when it came back; long ago: warm
-    bool everCold_ = false;
-    Moment busyUntil_{};
-    double credit_ = 1;
-    Moment creditAt_{};
-    Moment waitFrom_{}, waitTo_{};  // a wait was told: nothing may come between them
-    std::vector<Moment> recent_;    // arrivals of the last fallAfter
+    bool isDown_ = false;
 };
 
 }  // namespace laurelhaven::lab
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string_view>
 
+#include "decisions/limits.hpp"
 #include "log/log.hpp"
 #include "stoathub/stoathub.hpp"
 
@@ -17,9 +18,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFullAfter{500};  // what a client is told when the hold or the store is full
 constexpr milliseconds kLate{50};
-constexpr milliseconds kUnknownAfter{1000};        // and when no endpoint of the destination is listed
 constexpr std::chrono::seconds kDestinations{60};  // so long a destination without endpoints stays one
 
 stoathub::Time moduleTime(Moment at) {
@@ -101,8 +100,14 @@
 // ---- report ----
 
 Verdict Decisions::report(const HandIn& message) {
-    using Kind = Verdict::Kind;
     const std::lock_guard lock(mutex_);
+    const auto verdict = decide(message);
+    if (hooks_.arrived) hooks_.arrived(message, verdict);
+    return verdict;
+}
+
+Verdict Decisions::decide(const HandIn& message) {
+    using Kind = Verdict::Kind;
     const auto now = Steady::now();
     if (stopped_) return {Kind::refused, kFullAfter};
     if (const auto it = held_.find(message.id); it != held_.end()) {
@@ -162,8 +167,8 @@
     else if (!held.over && (held.begun || failed(result.ending)))
         store_.outcome(call.id, mayHaveRun(result.ending), failed(result.ending));
     held.begun = false;
-    if (hooks_.answered) hooks_.answered(call.endpoint, result);
     const auto now = Steady::now();
+    if (hooks_.answered) hooks_.answered(call, result, now - call.issued);
     if (result.ending == Ending::turnedAway && result.wait.count() > 0) {
         auto& until = waits_[call.destination];
         until = std::max(until, now + std::chrono::duration_cast<Steady::duration>(result.wait));
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -86,9 +86,11 @@
     std::function<void(const store::Owed&)> ended;
     std::function<void(const std::string& endpoint)> closeIdle;
     /// A call ended: evidence of what is at the endpoint's address.
-    std::function<void(const std::string& endpoint, const Result&)> answered = {};
+    std::function<void(const Call&, const Result&, std::chrono::nanoseconds took)> answered = {};
     /// A message was taken for a destination of which no endpoint may be sent to just now.
     std::function<void(std::uint64_t destination)> wanted = {};
+    /// A message was handed in, and what became of that.
+    std::function<void(const HandIn&, const Verdict&)> arrived = {};
 };
 
 class Decisions {
@@ -155,6 +157,7 @@
         std::size_t held = 0;         // messages
     };
 
+    Verdict decide(const HandIn& message);
     void setEndpoint(const std::string& name, const Seen* seen, Moment now);
     Held& hold(const HandIn& message);
     void release(const std::string& id);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,11 +7,13 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <iostream>
 #include <string>
 
 #include "commands/list.hpp"
+#include "commands/trace.hpp"
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
 #include "delivery/delivery.hpp"
@@ -24,6 +26,7 @@
 #include "settings/settings.hpp"
 #include "store/journal.hpp"
 #include "threads/thread.hpp"
+#include "trace/capture.hpp"
 
 namespace {
 
@@ -105,13 +108,22 @@
     roster::Roster* list = nullptr;
     discovery::Discovery discovery(config.discovery);
     notices::Notices notices(discovery, [&](const auto& ids) { facade->report(ids); });
-    decisions::Decisions decisions(config, store,
-                                   {[&](const store::Owed& notice) { notices.add(notice); },
-                                    [&](const std::string& endpoint) { calls->closeIdle(endpoint); },
-                                    [&](const std::string& endpoint, const decisions::Result& result) {
-                                        list->answered(endpoint, result);
-                                    },
-                                    [&](std::uint64_t destination) { list->wanted(destination); }});
+    trace::Capture capture(own.capture, config);
+    decisions::Decisions decisions(
+        config, store,
+        {[&](const store::Owed& notice) {
+             notices.add(notice);
+             capture.ended(notice);
+         },
+         [&](const std::string& endpoint) { calls->closeIdle(endpoint); },
+         [&](const decisions::Call& call, const decisions::Result& result, auto took) {
+             list->answered(call.endpoint, result);
+             capture.answered(call, result, took);
+         },
+         [&](std::uint64_t destination) { list->wanted(destination); },
+         [&](const decisions::HandIn& message, const decisions::Verdict& verdict) {
+             capture.arrived(message, verdict);
+         }});
     delivery::Delivery delivery(config, decisions);
     facade = &decisions;
     calls = &delivery;
@@ -123,6 +135,7 @@
     roster.begin();
     for (const auto& notice : recovered.notices) notices.add(notice);
     decisions.restore(recovered.messages, roster.healthKnownUntil());
+    capture.start();
     notices.start();
     roster.start();
     registry.start();
@@ -159,6 +172,12 @@
     registry.stop();
     roster.stop();
     delivery.stop();
+    capture.stop();
+    if (const auto c = capture.counts(); own.capture.enabled)
+        (log::info() << "capture: stopped")
+            .kv("written", c.written)
+            .kv("dropped", c.dropped)
+            .kv("bytes", c.bytes);
     log::info() << "stopped, " << decisions.held() << " messages left to the store";
     return 0;
 }
@@ -183,6 +202,65 @@
     return value ? value : "";
 }
 
+/// `trace ...`: its options, and what carries it out.
+class TraceWords {
+  public:
+    explicit TraceWords(CLI::App& app) {
+        auto* word = app.add_subcommand("trace", "look at captured load, and make traces out of traces");
+        word->require_subcommand(1);
+        word->fallthrough();
+        const auto in = [&](CLI::App* sub) {
+            sub->add_option("files", in_.files, "trace files: rotated ones, or those of several senders")
+                ->required()
+                ->check(CLI::ExistingFile);
+            return sub;
+        };
+        const auto to = [&](CLI::App* sub) {
+            sub->add_option("-o,--output", to_, "the trace to write")->required();
+            return sub;
+        };
+        summarise_ = in(word->add_subcommand("summarise", "rates, clumps by destination, tails by partner"));
+        summarise_->add_flag("--json", json_, "as JSON");
+        summarise_->add_option("--plot", plots_, "draw rate, tails and clumps as SVG into this folder");
+        cut_ = to(in(word->add_subcommand("cut", "a part of a trace")));
+        cut_->add_option("--from", part_.from, "seconds since its beginning");
+        cut_->add_option("--to", part_.to, "seconds since its beginning, left out itself");
+        cut_->add_option("--destination", part_.destinations, "only messages for these");
+        cut_->add_option("--tenant", part_.tenants, "only messages of these");
+        cut_->add_option("--class", part_.grades, "only messages of these classes");
+        scale_ = to(in(word->add_subcommand("scale", "more or less load of the same shape")));
+        scale_->add_option("--load", by_.load, "arrivals for each that was captured")
+            ->check(CLI::Range(0.001, 1000.0));
+        scale_->add_option("--speed", by_.speed, "how much faster it goes by")
+            ->check(CLI::Range(0.001, 1000.0));
+        scale_->add_option("--spread", by_.spread, "seconds by which further copies lie off at most")
+            ->check(CLI::Range(0.0, 60.0));
+        scale_->add_option("--seed", by_.seed, "which messages go or come again");
+        merge_ = to(in(word->add_subcommand("merge", "several traces as one, by time")));
+        merge_->add_flag("--align", align_, "let all of them begin together");
+        import_ = to(word->add_subcommand("import-csv", "a trace out of a table; see docs/TRACE.md"));
+        import_->add_option("from", from_, "the CSV file")->required();
+    }
+    /// The exit status, where one of these words was given.
+    std::optional<int> run() {
+        in_.progress = true;
+        if (summarise_->parsed()) return commands::traceSummarise(in_, json_, plots_, std::cout, std::cerr);
+        if (cut_->parsed()) return commands::traceCut(in_, part_, to_, std::cout, std::cerr);
+        if (scale_->parsed()) return commands::traceScale(in_, by_, to_, std::cout, std::cerr);
+        if (merge_->parsed()) return commands::traceMerge(in_, align_, to_, std::cout, std::cerr);
+        if (import_->parsed()) return commands::traceImportCsv(from_, to_, std::cout, std::cerr);
+        return {};
+    }
+
+  private:
+    commands::TraceIn in_;
+    std::string to_, from_, plots_;
+    bool json_ = false, align_ = false;
+    trace::Cut part_;
+    trace::Scale by_;
+    CLI::App *summarise_, *cut_, *scale_, *merge_, *import_;
+};
+
 int run(int argc, char** argv) {
     CLI::App app("The outbound message sender. `serve` is told by the BALANCER_ variables; see README.md.",
                  "laurelhaven");
@@ -225,6 +303,7 @@
                                         "must not be running");
     import->add_option("from", from, "the JSON file")->required();
     import->add_option("--disk-mb", diskMb, "the platform's disk_mb, of which the list gets its share");
+    TraceWords traces(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
@@ -261,6 +340,7 @@
                 file, from, kept::share(static_cast<std::uint64_t>(diskMb * 1e6), own.roster.diskShare),
                 std::cout, std::cerr);
     }
+    if (const auto status = traces.run()) return *status;
     std::cerr << app.help();
     return 2;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -14,7 +14,7 @@
     const auto root = yaml::checked(text, name, kSchema);
     if (!root) return s;
     const yaml::Section log(root, "log"), kept(root, "kept-list"), trust(root, "trust"),
-        discovery(root, "discovery"), probes(root, "probes");
+        discovery(root, "discovery"), probes(root, "probes"), capture(root, "capture");
     std::string level, format;
     log.plain("level", level).plain("format", format);
     if (!level.empty()) s.level = *log::level(level);
@@ -51,6 +51,12 @@
         .take("back-off", s.roster.probes.backOff, yaml::time)
         .take("back-off-most", s.roster.probes.backOffMost, yaml::time)
         .plain("stranger-factor", s.roster.strangerFactor);
+    capture.plain("enabled", s.capture.enabled)
+        .plain("folder", s.capture.folder)
+        .take("file-size", s.capture.fileBytes, yaml::size)
+        .plain("files", s.capture.files)
+        .plain("buffer", s.capture.buffer)
+        .take("flush-every", s.capture.flushEvery, yaml::time);
     // What no key alone can show.
     const auto most = [&](bool wrong, const yaml::Section& in, const char* key, const char* what) {
         if (wrong) yaml::bad(name, in.mark(key), std::string("'") + key + "' " + what);
@@ -76,6 +82,11 @@
     most(s.roster.probeTimeout < milliseconds(10), probes, "timeout", "is under 10 ms");
     most(s.roster.probes.backOff > s.roster.probes.backOffMost, probes, "back-off",
          "is more than back-off-most");
+    most(s.capture.enabled && s.capture.folder.empty(), capture, "enabled",
+         "is true, and 'folder' names no place for the files");
+    most(s.capture.fileBytes < 65536, capture, "file-size", "is under 64 KB");
+    most(s.capture.flushEvery < milliseconds(100), capture, "flush-every",
+         "is under 100 ms: writes must stay rare");
     return s;
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -8,6 +8,7 @@
 #include "log/log.hpp"
 #include "registry/registry.hpp"
 #include "roster/roster.hpp"
+#include "trace/capture.hpp"
 #include "yaml/checked.hpp"
 
 namespace laurelhaven::settings {
@@ -20,6 +21,7 @@
     log::Format format = log::Format::text;
     roster::Options roster;
     registry::Options registry;
+    trace::CaptureOptions capture;
 };
 
 /// Throws Bad. `name` stands for the file in what it says.
--- a/src/store/frame.cpp
+++ b/src/store/frame.cpp
@@ -23,8 +23,9 @@
     return value;
 }
 
-/// The payload of a good record at the start of the bytes; empty where there is none.
-std::string_view unframed(std::string_view bytes, std::string_view mark, std::size_t longest) {
+}  // namespace
+
+std::string_view firstFrame(std::string_view bytes, std::string_view mark, std::size_t longest) {
     if (bytes.size() < kFrameHead || bytes.substr(0, mark.size()) != mark) return {};
     const std::size_t size = get32(bytes.substr(4));
     if (size == 0 || size > longest || size > bytes.size() - kFrameHead) return {};
@@ -32,8 +33,6 @@
     return checksum(payload) == get32(bytes.substr(8)) ? payload : std::string_view{};
 }
 
-}  // namespace
-
 std::string framed(std::string_view mark, std::string_view payload) {
     std::string text(mark);
     put32(text, static_cast<std::uint32_t>(payload.size()));
@@ -46,7 +45,7 @@
     Scan found;
     std::size_t at = 0;
     while (at < bytes.size()) {
-        const auto payload = unframed(bytes.substr(at), mark, longest);
+        const auto payload = firstFrame(bytes.substr(at), mark, longest);
         if (payload.empty()) {
             // Damage, or the record that was being written when the process died. Go on at the next mark.
             const auto next = bytes.find(mark, at + 1);
--- a/src/store/frame.hpp
+++ b/src/store/frame.hpp
@@ -75,6 +75,9 @@
 /// The payload behind the four bytes of `mark`, its length and its CRC-32.
 std::string framed(std::string_view mark, std::string_view payload);
 
+/// The payload of a good record at the start of the bytes; empty where there is none.
+std::string_view firstFrame(std::string_view bytes, std::string_view mark, std::size_t longest);
+
 /// What scanning a file's bytes found.
 struct Scan {
     std::size_t good = 0;     ///< bytes up to the end of the last whole record
--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -19,6 +19,7 @@
 #include "delivery/idle.hpp"
 #include "http/message.hpp"
 #include "net/socket.hpp"
+#include "trace/file.hpp"
 
 extern char** environ;
 using namespace laurelhaven;
@@ -135,7 +136,9 @@
         setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
         setenv("BALANCER_STATE", (folder_ + "/state").c_str(), 1);
         char program[] = PROGRAM, quiet[] = "--log-level=off", command[] = "serve";
-        char* const words[] = {program, quiet, command, nullptr};
+        auto settings = "--settings=" + folder_ + "/settings.yaml";
+        const bool own = std::filesystem::exists(folder_ + "/settings.yaml");
+        char* const words[] = {program, quiet, command, own ? settings.data() : nullptr, nullptr};
         // Its output goes nowhere: a test that fails leaves it running, and must not wait for it.
         posix_spawn_file_actions_t files;
         posix_spawn_file_actions_init(&files);
@@ -298,6 +301,36 @@
     CHECK(platform.of("short") == 1 && platform.notices.size() == 1 && delivered.size() == 6);
 }
 
+// The load and the answers are recorded, and nothing of what clients sent but its size.
+void captureRecordsLoadAndAnswers() {
+    const check::Folder folder;
+    Platform platform;
+    std::atomic<int> calls{0};
+    Stub endpoint([&](http::Message&) { return answer(++calls == 1 ? 500 : 200); });
+    std::ofstream(folder.path + "/settings.yaml")
+        << "capture: {enabled: true, folder: " << folder.path << "/capture, flush-every: 100 ms}\n";
+    Program program(folder.path, platform, check::entry("a", endpoint.at(), 7));
+    for (int i = 0; i < 5; ++i) {
+        CHECK(program.status(handIn("m" + std::to_string(i))) == 202);
+        await([&] { return calls >= i + 2; });
+    }
+    CHECK(program.status(handIn("late", 0)) == 503);
+    CHECK(program.end(SIGTERM) == 0);
+    int arrivals = 0, refused = 0, delivered = 0, errors = 0;
+    for (const auto& file : std::filesystem::directory_iterator(folder.path + "/capture")) {
+        trace::Reader reader(file.path().string());
+        for (trace::Record record; reader.next(record);) {
+            if (const auto* a = std::get_if<trace::Arrival>(&record)) {
+                ++arrivals, refused += a->verdict == trace::Verdict::refused;
+            } else if (const auto* c = std::get_if<trace::Answer>(&record)) {
+                delivered += c->ending == trace::Ending::delivered,
+                    errors += c->ending == trace::Ending::error;
+            }
+        }
+    }
+    CHECK(arrivals == 6 && refused == 1 && delivered == 5 && errors == 1);
+}
+
 // A disk that fills up under the whole sender: a limit on the size of its files stands for it. What can't be
 // stored is refused; what was stored is owed, through a kill while nothing can be written; and room is used
 // at once.
@@ -597,6 +630,7 @@
     everyMessageEndsOnce();
     restartsLoseNothing();
     fullDiskLosesNothing();
+    captureRecordsLoadAndAnswers();
     reloadMovesDiscovery();
     badClientsAreAnsweredAndShut();
     idleConnectionsAreTakenWithCare();
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -56,6 +56,11 @@
     EXPECT_EQ(m.trust.maxAge, n.trust.maxAge);
     EXPECT_EQ(m.trust.blindLimit, n.trust.blindLimit);
     EXPECT_EQ(m.trust.configuredAge, n.trust.configuredAge);
+    EXPECT_EQ(read.capture.enabled, plain.capture.enabled);
+    EXPECT_EQ(read.capture.fileBytes, plain.capture.fileBytes);
+    EXPECT_EQ(read.capture.files, plain.capture.files);
+    EXPECT_EQ(read.capture.buffer, plain.capture.buffer);
+    EXPECT_EQ(read.capture.flushEvery, plain.capture.flushEvery);
     EXPECT_EQ(read.registry.longestLine, 1000000u);
     EXPECT_EQ(read.registry.pauseMost, plain.registry.pauseMost);
 }
@@ -86,6 +91,8 @@
         {"log:\n  level: info\ntrsut: {}\n", "f.yaml:3:", "trsut", "'trust'"},
         {"trust:\n\n  half-life: 6 hours\n", "f.yaml:3:", "trust.half-life", "250 ms"},
         {"trust: {max-age: 3600}\n", "f.yaml:1:", "trust.max-age", "with its unit"},
+        {"capture:\n  enabled: true\n", "f.yaml:2:", "enabled", "'folder' names no place"},
+        {"capture:\n  file-size: 16\n", "f.yaml:2:", "capture.file-size", "16 MB"},
         {"probes:\n  rate: 4\n", "f.yaml:2:", "probes.rate", "4/s"},
         {"probes:\n  enabled: 'true'\n", "f.yaml:2:", "probes.enabled", "true or false"},
         {"kept-list:\n  tombstones: 3\n", "f.yaml:2:", "kept-list.tombstones", "16 to 1000000"},
