--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	build/laurelhaven-lab matrix $(if $(BASE),--against $(BASE))
 	build/list_bench 50000 20000
 	build/trace_bench 20000 10000000
+	-build/laurelhaven-lab agree lab/scenarios/agree/*.yaml
 
 # Fuzzes the readers of the kept list, of discovery's stream and of traces, FUZZ seconds each. Wants clang and libclang-rt.
 FUZZ ?= 60
--- a/lab/standin/ledger.hpp
+++ b/lab/standin/ledger.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -23,6 +24,7 @@
     std::string endpoint, id;
     std::uint64_t destination = 0;
     Outcome outcome = Outcome::broken;
+    std::uint64_t call = 0;  ///< as begun() named it
 };
 
 class Ledger {
@@ -39,10 +41,14 @@
     struct Verdict {
         bool known = false;    ///< some client handed it in
         bool fits = false;     ///< for this destination
-        bool overlap = false;  ///< another call with it is open
+        bool overlap = false;  ///< another call with it is out on an open connection
+        std::uint64_t call = 0;
     };
-    /// A call has come; `ended` follows.
-    Verdict begun(const std::string& endpoint, std::uint64_t destination, const std::string& id);
+    /// A call has come; `ended` follows. `open` says whether its connection still is: whoever closed it has
+    /// given that call up, and the next one is no second copy.
+    Verdict begun(
+        const std::string& endpoint, std::uint64_t destination, const std::string& id,
+        std::function<bool()> open = [] { return true; });
     /// It has run now: false where it is a repeat that a receiver drops.
     bool run(const std::string& id, Moment now);
     void ended(const CallRecord& record);
@@ -75,7 +81,7 @@
     struct Message {
         std::string key;
         std::uint64_t destination = 0;
-        int open = 0;
+        std::map<std::uint64_t, std::function<bool()>> open;
     };
     std::chrono::milliseconds window_, grace_;
     mutable std::mutex mutex_;
@@ -83,6 +89,7 @@
     std::unordered_map<std::string, Moment> ran_;  // by key, the first time
     std::unordered_map<std::string, Moment> drains_;
     std::vector<CallRecord> calls_;
+    std::uint64_t begun_ = 0;
     Counts counts_;
 };
 
--- a/lab/standin/partner.cpp
+++ b/lab/standin/partner.cpp
@@ -112,7 +112,9 @@
     record.endpoint = point.id;
     record.destination = model().destination;
     if (const auto* id = message.headers.find("Req-Id")) record.id = *id;
-    const auto verdict = ledger_.begun(point.id, model().destination, record.id);
+    const auto verdict =
+        ledger_.begun(point.id, model().destination, record.id, [&] { return connection.open(); });
+    record.call = verdict.call;
     const auto finish = [&](Outcome outcome, int status, http::Fields fields) {
         record.outcome = outcome;
         record.at = Steady::now();
--- a/tests/lab/standin_test.cpp
+++ b/tests/lab/standin_test.cpp
@@ -55,6 +55,23 @@
     }
 };
 
+TEST(Ledger, ACallThatItsSenderHasClosedIsNoSecondCopy) {
+    Ledger ledger(milliseconds(1000));
+    ledger.expect("m", "k", 7);
+    bool open = true;
+    const auto first = ledger.begun("a", 7, "m", [&] { return open; });
+    EXPECT_TRUE(ledger.begun("b", 7, "m", [] { return false; }).overlap);
+    open = false;
+    EXPECT_FALSE(ledger.begun("b", 7, "m").overlap);
+    open = true;
+    CallRecord record;
+    record.id = "m";
+    record.call = first.call;
+    ledger.ended(record);
+    EXPECT_TRUE(ledger.begun("b", 7, "m").overlap);  // the third is out
+    EXPECT_EQ(ledger.counts().overlaps, 2u);
+}
+
 TEST(Ledger, CountsDoublesRepeatsAndOverlaps) {
     Ledger ledger(milliseconds(1000));
     ledger.expect("m1", "k", 7);
