Write times of a trace that lie as far apart as can be

Fuzzing the decoder of traces found a signed overflow where a block with far-off times was written again. The difference is taken unsigned now; a test holds the case.

--- a/src/trace/block.cpp
+++ b/src/trace/block.cpp
@@ -87,7 +87,8 @@
 void Block::varint(std::uint64_t value) { append(bytes_, value); }
 
 void Block::time(Micros at) {
-    varint(zigzag(at - last_));
+    // Unsigned: two times of a damaged trace may lie further apart than a signed number can tell.
+    varint(zigzag(static_cast<Micros>(static_cast<std::uint64_t>(at) - static_cast<std::uint64_t>(last_))));
     last_ = at;
 }
 
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -194,6 +194,16 @@
     EXPECT_GT(refused, 1000);
 }
 
+// Found by fuzzing.
+TEST(Decode, TimesMayLieAsFarApartAsCanBe) {
+    const std::vector<Record> far{End{INT64_MIN, 1, true}, End{INT64_MAX, 2, false}, End{INT64_MIN, 3, true}};
+    Block block;
+    for (const auto& record : far) block.add(record);
+    const auto got = decode(block.take().substr(12));
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got->records, far);
+}
+
 TEST(Cut, TakesATimeAndTheMessagesOfATenantWithTheirAnswers) {
     Cutter time({1.0, 2.0, {}, {}, {}});
     EXPECT_FALSE(time.keeps(arrival(1, 0)));
