Let model, loopback, benches and tests share what each had a copy of

Merging traces moves records rather than copying them; the model counts its tenants once, and state that nothing read is gone.

--- a/bench/list_bench.cpp
+++ b/bench/list_bench.cpp
@@ -12,22 +12,13 @@
 #include "decisions/decisions.hpp"
 #include "kept/kept.hpp"
 #include "log/log.hpp"
+#include "no_store.hpp"
 #include "roster/roster.hpp"
 
 using namespace laurelhaven;
 
 namespace {
 
-struct NoStore : store::Store {
-    store::Recovered recover() override { return {}; }
-    bool take(const store::Taken&) override { return true; }
-    bool attempt(const std::string&, store::WallMs) override { return true; }
-    void outcome(const std::string&, bool, bool) override {}
-    void done(const std::string&) override {}
-    void ended(const store::Owed&) override {}
-    void noticed(const std::string&) override {}
-};
-
 double ms(std::chrono::steady_clock::duration span) {
     return std::chrono::duration<double, std::milli>(span).count();
 }
@@ -77,7 +68,7 @@
         bytes = file.bytes();
     }
     const auto config = config::fromText(kConfiguration, {{"BALANCER_STATE", folder}});
-    NoStore store;
+    check::NoStore store;
     decisions::Decisions facade(config, store, {});
     roster::Options options;
     options.diskShare = 0.5;
--- a/bench/trace_bench.cpp
+++ b/bench/trace_bench.cpp
@@ -13,6 +13,7 @@
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
 #include "log/log.hpp"
+#include "no_store.hpp"
 #include "trace/capture.hpp"
 #include "trace/file.hpp"
 #include "trace/summary.hpp"
@@ -22,16 +23,6 @@
 
 namespace {
 
-struct NoStore : store::Store {
-    store::Recovered recover() override { return {}; }
-    bool take(const store::Taken&) override { return true; }
-    bool attempt(const std::string&, store::WallMs) override { return true; }
-    void outcome(const std::string&, bool, bool) override {}
-    void done(const std::string&) override {}
-    void ended(const store::Owed&) override {}
-    void noticed(const std::string&) override {}
-};
-
 const char* const kConfiguration =
     R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",)"
     R"("limits":{"memory_mb":192,"disk_mb":400,"sockets":1024},"settings":{"grades":[{"name":"notice",)"
@@ -53,7 +44,7 @@
     options.enabled = capturing;
     options.folder = folder + "/capture";
     trace::Capture capture(options, config);
-    NoStore store;
+    check::NoStore store;
     decisions::Decisions facade(
         config, store,
         {{},
--- a/lab/agree/agree.cpp
+++ b/lab/agree/agree.cpp
@@ -1,7 +1,6 @@
 #include "agree/agree.hpp"
 
 #include <json/value.h>
-#include <json/writer.h>
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
@@ -14,21 +13,11 @@
                    "; play it on loopback: laurelhaven-lab run");
 }
 
-std::string written(const Json::Value& value) {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "  ";
-    builder["precision"] = 4;
-    builder["precisionType"] = "decimal";
-    return Json::writeString(builder, value);
-}
-
-double seconds(lab::Instant span) { return std::chrono::duration<double>(span).count(); }
-
 Json::Value value(const model::Peak& peak) {
     Json::Value one;
     one["most"] = peak.most;
     one["bound"] = peak.bound;
-    one["at_s"] = seconds(peak.at);
+    one["at_s"] = lab::seconds(peak.at);
     return one;
 }
 
@@ -64,8 +53,7 @@
     if (s.drained > 0 || s.readdressed > 0) unknown(s, "fleet that has changed since its list was kept");
     model::Fleet made;
     made.senders.count = s.senders;
-    made.service.wanted = s.wanted;
-    made.service.deadline = s.deadline;
+    made.service = lab::service(s);
     for (int i = 0; i < s.partners; ++i) {
         model::Partner one{lab::partner(s, i), s.endpoints, i < s.cold};
         one.does.oneSender = s.senders == 1;
@@ -122,14 +110,14 @@
         one["difference"] = p.difference();
         all.append(one);
     }
-    return written(all) + "\n";
+    return lab::written(all) + "\n";
 }
 
 std::string json(const std::string& name, const model::Day& day, double took) {
     auto one = value(day);
     one["name"] = name;
     one["took_s"] = took;
-    return written(one) + "\n";
+    return lab::written(one) + "\n";
 }
 
 std::string text(const std::string& name, const model::Day& day, double took) {
@@ -146,7 +134,7 @@
                                           [](const auto& a, const auto& b) { return a.share() < b.share(); });
     if (nearest != day.partners.end())
         out += fmt::format("; the partner nearest to its bound is {} with {:.0f}% at {:.1f} s",
-                           nearest - day.partners.begin(), 100 * nearest->share(), seconds(nearest->at));
+                           nearest - day.partners.begin(), 100 * nearest->share(), lab::seconds(nearest->at));
     return out +
            (day.rules.kept()
                 ? "\n"
--- a/lab/desk/desk.cpp
+++ b/lab/desk/desk.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-double seconds(Instant span) { return std::chrono::duration<double>(span).count(); }
-Instant span(double s) { return std::chrono::duration_cast<Instant>(std::chrono::duration<double>(s)); }
-
 constexpr double kSlack = 2;              // calls over the budget that chance may bring
 constexpr milliseconds kLetThrough{100};  // what was on its way when the wait was told
 constexpr milliseconds kRounding{2};
--- a/lab/desk/desk.hpp
+++ b/lab/desk/desk.hpp
@@ -12,6 +12,10 @@
 namespace laurelhaven::lab {
 
 using Instant = std::chrono::nanoseconds;  ///< since any moment, the same for all calls
+inline double seconds(Instant span) { return std::chrono::duration<double>(span).count(); }
+inline Instant span(double seconds) {
+    return std::chrono::duration_cast<Instant>(std::chrono::duration<double>(seconds));
+}
 
 struct PartnerModel {
     std::uint64_t destination = 0;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -17,12 +17,18 @@
 
 namespace {
 
+/// `seed` above 0 goes before the scenario's own.
+lab::Scenario seeded(const std::string& file, std::uint64_t seed) {
+    auto scenario = lab::scenarioFile(file);
+    if (seed > 0) scenario.seed = seed;
+    return scenario;
+}
+
 /// Days on the model: independent, so all cores have some. The exit status.
 int models(const std::vector<std::string>& files, std::uint64_t seed, int days, bool json) {
     int status = 0;
     for (const auto& file : files) {
-        auto scenario = lab::scenarioFile(file);
-        if (seed > 0) scenario.seed = seed;
+        const auto scenario = seeded(file, seed);
         std::vector<std::string> told(static_cast<std::size_t>(days));
         std::atomic<std::size_t> next{0};
         std::atomic<bool> kept{true};
@@ -64,8 +70,7 @@
     const auto folder = options.folder;
     bool kept = true;
     for (const auto& file : files) {
-        auto scenario = lab::scenarioFile(file);
-        if (seed > 0) scenario.seed = seed;
+        const auto scenario = seeded(file, seed);
         options.folder = folder + "/" + std::to_string(pairs.size());
         if (options.progress) options.progress(scenario.name);
         pairs.push_back({scenario.name, agree::modelled(scenario), lab::play(scenario, options)});
@@ -148,12 +153,11 @@
             return kept ? 0 : 1;
         }
         for (const auto& file : files) {
-            auto scenario = lab::scenarioFile(file);
+            const auto scenario = seeded(file, seed);
             if (check->parsed()) {
                 std::cout << file << ": " << scenario.name << '\n';
                 continue;
             }
-            if (seed > 0) scenario.seed = seed;
             const auto report = lab::play(scenario, options);
             std::cout << (json ? report.json() + "\n" : report.text()) << std::flush;
             if (!report.clean()) status = 1;
--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -15,12 +15,14 @@
 #include <stdexcept>
 
 #include "decisions/limits.hpp"
+#include "delivery/idle.hpp"
 #include "stoathub/stoathub.hpp"
 
 namespace laurelhaven::model {
 namespace {
 
 using lab::Desk;
+using lab::seconds;
 using std::chrono::milliseconds;
 using Handle = std::uint32_t;
 
@@ -28,12 +30,7 @@
 // The rule's 250 ms, and 50 more, as sockets have it.
 constexpr milliseconds kDrainGrace{300};
 constexpr milliseconds kPeakSpan{2000};
-// The share of its keep-alive time for which a sender keeps an idle connection; see delivery.
-constexpr double kKeepShare = 0.9;
 constexpr milliseconds kKeepAlive{5000};
-constexpr milliseconds kRest{10};
-
-double seconds(Instant span) { return std::chrono::duration<double>(span).count(); }
 
 enum class What : std::uint8_t { hand, wake, reach, done, answer, expire, cancelled, told, trouble };
 
@@ -52,14 +49,14 @@
 struct Message {  // as its client sees it
     Handing wants;
     int tries = 0;
-    bool ended = false;                     // by a notice, or refused for good
-    std::optional<Instant> ranAt, ranLast;  // at the partner
+    bool ended = false;            // by a notice, or refused for good
+    std::optional<Instant> ranAt;  // at the partner
 };
 
 struct HandIn {  // one id, at one sender
     Handle message = kNone, sender = kNone;
     Handle out = kNone;  // the call that is out
-    int attempts = 0, failures = 0;
+    int attempts = 0;
     bool mayHaveRun = false, over = false, ended = false;
     Instant sentAt{}, ranAt{};
 };
@@ -69,7 +66,7 @@
     std::uint32_t life = 0;  // of the sender
     int attempt = 0;
     Instant sentAt{}, until{};
-    bool warm = false, reached = false, over = false, admitted = false;
+    bool reached = false, over = false, admitted = false;
     stoathub::Result result = stoathub::Result::delivered;
     Instant wait{};
     int pending = 0;  // events that still name it
@@ -103,7 +100,7 @@
 class World {
   public:
     World(const Fleet& fleet, const std::vector<Handing>& load, std::uint64_t seed)
-        : fleet_(fleet), load_(load), seed_(seed), chance_(seed) {
+        : fleet_(fleet), load_(load), seed_(seed) {
         if (fleet.partners.empty()) throw std::invalid_argument("a fleet without partners");
         if (fleet.senders.count < 1) throw std::invalid_argument("a fleet without senders");
         for (std::size_t p = 0; p < fleet.partners.size(); ++p) {
@@ -118,6 +115,7 @@
             }
             day_.partners.push_back({0, partner.does.capacity * seconds(kPeakSpan), {}});
         }
+        for (const auto& h : load) tenants_ = std::max<std::size_t>(tenants_, h.tenant);
         day_.turnedAway.resize(sides_.size());
         day_.slots.bound = fleet.senders.slots;
         day_.held.bound = fleet.senders.held;
@@ -152,7 +150,7 @@
         const auto next = static_cast<Handle>(messages_.size());
         if (load_[next].partner >= sides_.size())
             throw std::invalid_argument("load for a partner that is not there");
-        messages_.push_back({load_[next], 0, false, {}, {}});
+        messages_.push_back({load_[next], 0, false, {}});
         add(load_[next].at, What::hand, next, 1);
     }
 
@@ -191,7 +189,7 @@
         grade.lateShare = fleet_.service.lateShare;
         s.grades = {grade};
         s.kinds.resize(1);
-        s.accounts.assign(1 + tenants(), stoathub::Account{1000});
+        s.accounts.assign(1 + tenants_, stoathub::Account{1000});
         s.senders = fleet_.senders.count;
         s.self = static_cast<int>(self);
         s.slots = fleet_.senders.slots;
@@ -212,12 +210,6 @@
         s.overloadFor = first.fallAfter;
         return s;
     }
-    std::size_t tenants() const {
-        std::uint32_t most = 0;
-        for (const auto& h : load_) most = std::max(most, h.tenant);
-        return most;
-    }
-
     stoathub::Endpoint listed(const Endpoint& e) const {
         return {e.id,
                 e.partner,
@@ -361,10 +353,7 @@
         const auto s = static_cast<Handle>(next_++ % senders_.size());
         auto& sender = senders_[s];
         const Instant pause = fleet_.clients.pause;
-        if (!sender.alive) {
-            ++day_.noSender;
-            return again(m, pause);
-        }
+        if (!sender.alive) return again(m, pause);
         const auto heed = [&](Instant after) {
             return std::min<Instant>(after > Instant{} ? after : pause, fleet_.clients.adviceMost);
         };
@@ -423,18 +412,19 @@
         call.until = std::chrono::duration_cast<Instant>(send.tryUntil.time_since_epoch());
         in.out = c;
         peak(day_.slots, ++sender.out);
+        bool warm = false;
         auto& idle = sender.idle[call.endpoint];
-        const auto keep = std::chrono::duration_cast<Instant>(kKeepShare * Instant(kKeepAlive));
+        const auto keep = std::chrono::duration_cast<Instant>(delivery::kKeepShare * Instant(kKeepAlive));
         std::erase_if(idle, [&](Instant since) { return now_ - since > keep; });
         // The one used last that has rested.
         for (auto it = idle.rbegin(); it != idle.rend(); ++it) {
-            if (now_ - *it < kRest) continue;
+            if (now_ - *it < delivery::kRestBetween) continue;
             idle.erase(std::next(it).base());
-            call.warm = true;
+            warm = true;
             break;
         }
         const auto& net = fleet_.network;
-        later(now_ + net.delay + (call.warm ? Instant{} : Instant(net.connect)), What::reach, c);
+        later(now_ + net.delay + (warm ? Instant{} : Instant(net.connect)), What::reach, c);
         later(call.until, What::expire, c);
     }
 
@@ -490,7 +480,7 @@
         day_.rules.duringWait += admission.duringWait;
         if (admission.kind != Kind::run) {
             call.result = stoathub::Result::full;
-            call.wait = std::chrono::duration_cast<Instant>(std::chrono::duration<double>(admission.wait));
+            call.wait = lab::span(admission.wait);
             ++day_.refusedCalls;
             ++day_.turnedAway[endpoint.partner];
             return later(back, What::answer, c);
@@ -643,10 +633,7 @@
             double worth = 0;
             if (m.ranAt) {
                 ++day_.delivered;
-                const auto span = seconds(fleet_.service.deadline - fleet_.service.wanted);
-                const double late = seconds(*m.ranAt - m.wants.at - fleet_.service.wanted);
-                worth =
-                    1 - (1 - fleet_.service.lateShare) * std::clamp(late / std::max(0.001, span), 0.0, 1.0);
+                worth = fleet_.service.worth(*m.ranAt - m.wants.at);
             } else if (!m.ended) {
                 ++day_.rules.lost;
             }
@@ -677,7 +664,7 @@
     const Fleet& fleet_;
     const std::vector<Handing>& load_;
     std::uint64_t seed_;
-    boost::random::mt19937_64 chance_;
+    std::size_t tenants_ = 0;  // the greatest of the load
     std::priority_queue<Event, std::vector<Event>, Later> queue_;
     std::uint64_t order_ = 0, next_ = 0;
     Instant now_{};
@@ -694,6 +681,11 @@
 
 }  // namespace
 
+double Service::worth(Instant took) const {
+    const double late = seconds(took - wanted), span = seconds(deadline - wanted);
+    return 1 - (1 - lateShare) * std::clamp(late / std::max(0.001, span), 0.0, 1.0);
+}
+
 Day play(const Fleet& fleet, const std::vector<Handing>& load, std::uint64_t seed) {
     return World(fleet, load, seed).run();
 }
@@ -704,10 +696,7 @@
                                                                     shape.weights.end());
     boost::random::uniform_01<double> uniform;
     std::vector<Handing> all;
-    const auto span = std::chrono::duration<double>(shape.span).count();
-    const auto at = [](double s) {
-        return std::chrono::duration_cast<Instant>(std::chrono::duration<double>(s));
-    };
+    const double span = seconds(shape.span);
     const auto tenant = [&] {
         return static_cast<std::uint32_t>(uniform(chance) * shape.tenants) % shape.tenants;
     };
@@ -717,7 +706,7 @@
         for (double t = gap(chance); t < span; t += gap(chance)) each(t);
     };
     stream(shape.rate * (1 - shape.clumped), [&](double t) {
-        all.push_back({at(t), which(chance), tenant()});
+        all.push_back({lab::span(t), which(chance), tenant()});
     });
     // A clump has its size by chance too, one at least.
     const boost::random::poisson_distribution<int> more(std::max(0.001, shape.clump - 1));
@@ -726,8 +715,8 @@
         const auto owner = tenant();
         const int n = 1 + more(chance);
         for (int i = 0; i < n; ++i) {
-            const double off = uniform(chance) * std::chrono::duration<double>(shape.within).count();
-            if (t + off < span) all.push_back({at(t + off), partner, owner});
+            const double off = uniform(chance) * seconds(shape.within);
+            if (t + off < span) all.push_back({lab::span(t + off), partner, owner});
         }
     });
     std::stable_sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
--- a/lab/model/day.hpp
+++ b/lab/model/day.hpp
@@ -46,6 +46,8 @@
         10000};  ///< ... and `lateShare` of it at the last moment, evenly between
     double lateShare = 0.5;
     std::chrono::milliseconds giveUp{28000}, keyWindow{15000};
+    /// Of a message delivered so long after its client first handed it in.
+    double worth(Instant took) const;
 };
 
 struct Trouble {
@@ -87,7 +89,7 @@
 
 struct Day {
     std::uint64_t messages = 0, taken = 0, delivered = 0, failed = 0, returned = 0, refused = 0;
-    std::uint64_t calls = 0, refusedCalls = 0, heldFull = 0, noSender = 0, events = 0;
+    std::uint64_t calls = 0, refusedCalls = 0, heldFull = 0, events = 0;
     std::vector<double>
         service;  ///< by second of handing in: worth delivered of that asked for; -1: nothing asked
     double whole = 0, worst10 = 0, worstTenant = 0;
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -426,6 +426,7 @@
         while (Steady::now() < last && open() > 0) std::this_thread::sleep_for(milliseconds(50));
         report_.name = set_.name;
         const auto notices = ends();
+        const auto service = lab::service(set_);
         std::vector<double> asked(static_cast<std::size_t>(set_.duration.count() / 1000 + 1)),
             got(asked.size());
         for (const auto& m : clients_->done) {
@@ -447,9 +448,7 @@
                 std::min(static_cast<std::size_t>(std::max<long>(0, second)), asked.size() - 1);
             asked[bucket] += 1;
             if (!delivered) continue;
-            const double late = std::chrono::duration<double>(at - m.at - set_.wanted).count();
-            const double span = std::chrono::duration<double>(set_.deadline - set_.wanted).count();
-            got[bucket] += 1 - 0.5 * std::clamp(late / std::max(0.001, span), 0.0, 1.0);
+            got[bucket] += service.worth(at - m.at);
         }
         double a = 0, g = 0;
         for (std::size_t i = 0; i < asked.size(); ++i) {
@@ -510,6 +509,13 @@
     return model;
 }
 
+model::Service service(const Scenario& scenario) {
+    model::Service made;
+    made.wanted = scenario.wanted;
+    made.deadline = scenario.deadline;
+    return made;
+}
+
 model::Shape shape(const Scenario& scenario) {
     model::Shape made;
     double all = 0;
@@ -532,6 +538,14 @@
            badExits == 0;
 }
 
+std::string written(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "  ";
+    builder["precision"] = 4;
+    builder["precisionType"] = "decimal";
+    return Json::writeString(builder, value);
+}
+
 std::string Report::json() const {
     Json::Value root;
     root["name"] = name;
@@ -565,11 +579,7 @@
     for (const auto& [sender, ms] : readyMs) root["ready_ms"][sender] = number(ms);
     root["resident_bytes"] = number(residentBytes);
     root["bad_exits"] = number(badExits);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "  ";
-    builder["precision"] = 4;
-    builder["precisionType"] = "decimal";
-    return Json::writeString(builder, root);
+    return written(root);
 }
 
 std::string Report::text() const {
--- a/lab/rig/world.hpp
+++ b/lab/rig/world.hpp
@@ -2,6 +2,8 @@
 // their own pace whatever comes back. Tells what became of every message.
 #pragma once
 
+#include <json/value.h>
+
 #include <functional>
 #include <map>
 #include <string>
@@ -46,8 +48,12 @@
 
 /// What a scenario says of one of its partners, by position, and of its load: also for the model.
 PartnerModel partner(const Scenario& scenario, int i);
+model::Service service(const Scenario& scenario);
 model::Shape shape(const Scenario& scenario);
 
+/// JSON in the form of all reports.
+std::string written(const Json::Value& value);
+
 /// Throws Bad or std::exception where it can't be played.
 Report play(const Scenario& scenario, const Options& options);
 
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -13,9 +13,6 @@
 using decisions::Result;
 using std::chrono::milliseconds;
 
-// A connection is shut well before the endpoint's idle time ends: a request that crosses its close is a
-// reset.
-constexpr double kKeepShare = 0.9;
 // An answer comes in one piece, or nearly: what has not come so long after its first byte never will.
 constexpr milliseconds kRest{250};
 // A kept connection that breaks so soon after a request was written to it had been closed, or dropped by
@@ -23,7 +20,6 @@
 // three on end look like an outage, and a partner that is well is eased in for a whole warm-up, on the day of
 // the highest load. An endpoint that died is seen all the same: the next call needs a new connection.
 constexpr milliseconds kCrossed{25};
-constexpr milliseconds kRestBetween{10};  // before a connection carries another call; see Idle
 constexpr std::size_t kMostAnswer =
     128 * 1024;  // more bytes than any answer has, 1xx ones before it included
 
--- a/src/delivery/idle.hpp
+++ b/src/delivery/idle.hpp
@@ -11,6 +11,11 @@
 
 namespace laurelhaven::delivery {
 
+// A connection is shut well before the endpoint's idle time ends: a request that crosses its close is a
+// reset.
+constexpr double kKeepShare = 0.9;
+constexpr std::chrono::milliseconds kRestBetween{10};  ///< before it carries another call; see Idle
+
 // Danger: an endpoint goes and another takes over its address. What was connected to the first must not carry
 // calls to the second, so the endpoint's id counts, not the address alone.
 // Danger: a second copy of an answer may come right behind it, and would be taken for the answer to the next
--- a/src/trace/shape.cpp
+++ b/src/trace/shape.cpp
@@ -86,24 +86,23 @@
         if (!sources_[i](record)) continue;
         if (!begin) begin = at(record);
         if (align) shift_[i] = *begin - at(record);
-        setAt(record, at(record) + shift_[i]);
-        heads_.push({std::move(record), i});
+        push(std::move(record), i);
     }
 }
 
-void Merger::pull(std::size_t source) {
-    Record record;
-    if (!sources_[source](record)) return;
+void Merger::push(Record record, std::size_t source) {
     setAt(record, at(record) + shift_[source]);
-    heads_.push({std::move(record), source});
+    heads_.push_back({std::move(record), source});
+    std::push_heap(heads_.begin(), heads_.end(), Later{});
 }
 
 bool Merger::next(Record& record) {
     if (heads_.empty()) return false;
-    const auto source = heads_.top().source;
-    record = heads_.top().record;
-    heads_.pop();
-    pull(source);
+    std::pop_heap(heads_.begin(), heads_.end(), Later{});
+    const auto source = heads_.back().source;
+    record = std::move(heads_.back().record);
+    heads_.pop_back();
+    if (Record more; sources_[source](more)) push(std::move(more), source);
     return true;
 }
 
--- a/src/trace/shape.hpp
+++ b/src/trace/shape.hpp
@@ -88,10 +88,10 @@
                                                               : a.source > b.source;
         }
     };
-    void pull(std::size_t source);
+    void push(Record record, std::size_t source);
     std::vector<Source> sources_;
     std::vector<Micros> shift_;
-    std::priority_queue<Head, std::vector<Head>, Later> heads_;
+    std::vector<Head> heads_;  // a heap: what leaves a priority_queue can only be copied
 };
 
 }  // namespace laurelhaven::trace
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -6,21 +6,12 @@
 #include "check.hpp"
 #include "config/config.hpp"
 #include "log/log.hpp"
+#include "no_store.hpp"
 
 namespace {
 
 using namespace laurelhaven;
 
-struct NoStore : store::Store {
-    store::Recovered recover() override { return {}; }
-    bool take(const store::Taken&) override { return true; }
-    bool attempt(const std::string&, store::WallMs) override { return true; }
-    void outcome(const std::string&, bool, bool) override {}
-    void done(const std::string&) override {}
-    void ended(const store::Owed&) override {}
-    void noticed(const std::string&) override {}
-};
-
 listing::Endpoint endpoint(const std::string& name, int i, listing::Status status) {
     return {name, "127.0.0.1:" + std::to_string(1000 + i), "z", "big", 7, status, 4, 0};
 }
@@ -33,7 +24,7 @@
     const auto config =
         config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "", check::settings()),
                          {{"BALANCER_STATE", folder.path}});
-    NoStore store;
+    check::NoStore store;
     decisions::Decisions facade(config, store, {});
     roster::Options options;
     options.keep = options.probe = false;
