--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 # What a fresh machine lacks: the sender's packages, as the deploy file names them, and those of tests and lab.
 PACKAGES = $(shell sed -n 's/^packages = \[\(.*\)\]/\1/p' deploy/balancer.toml | tr -d '",')
-TOOLS = g++ cmake make libgtest-dev clang-format cppcheck gnuplot-nox
+TOOLS = g++ cmake make libgtest-dev clang-format cppcheck gnuplot-nox libncurses-dev
 setup:
 	@missing=; for p in $(PACKAGES) $(TOOLS); do dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
 	if [ -n "$$missing" ]; then apt-get update -q && \
--- a/lab/agree/agree.cpp
+++ b/lab/agree/agree.cpp
@@ -69,6 +69,10 @@
             case From::drain: add(To::drain); break;
             case From::kill: add(To::kill); break;
             case From::start: add(To::start); break;
+            // Only a description of a fleet has these, and that is played by itself.
+            case From::slow: unknown(s, "slow answers");
+            case From::zoneLost:
+            case From::zoneBack: unknown(s, "zones of a scenario");
             case From::stop: unknown(s, "planned stop");
             case From::discovery: unknown(s, "discovery that is down");
             case From::loseHistory: unknown(s, "discovery that loses its history");
--- a/lab/rig/scenario.hpp
+++ b/lab/rig/scenario.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "model/day.hpp"
 #include "standin/discovery.hpp"
 
 namespace laurelhaven::lab {
@@ -28,13 +30,25 @@
         kill,
         stop,
         start,
-        move
+        move,
+        slow,
+        zoneLost,
+        zoneBack
     } kind = Kind::discovery;
     Discovery::Mode mode = Discovery::Mode::up;
-    std::size_t which = 0;  ///< partner or sender
+    std::size_t which = 0;  ///< partner, sender or zone
+    double factor = 1;      ///< for slow: calls take so many times as long
+};
+
+/// A day that is given whole, as a description of a fleet says it: its partners, senders and messages go
+/// before what a scenario says of them.
+struct Given {
+    model::Fleet fleet;
+    std::vector<model::Handing> messages;
 };
 
 struct Scenario {
+    std::shared_ptr<const Given> given;  ///< or none
     std::string name = "unnamed";
     std::uint64_t seed = 1;
     std::size_t block = 0;  ///< runs side by side in one process each have their own
--- a/lab/rig/sender.cpp
+++ b/lab/rig/sender.cpp
@@ -23,14 +23,20 @@
 
 std::string configuration(const SenderPlan& p) {
     const auto number = [](auto value) { return std::to_string(value); };
+    std::string accounts;
+    for (int i = 0; i < p.tenants; ++i)
+        accounts += (i > 0 ? "," : "") + (R"({"name":")" + tenant(static_cast<std::uint32_t>(i))) +
+                    R"(","quota-per-s":1000})";
     return R"({"name":")" + p.name + R"(","listen":")" + p.listen + R"(","discovery":")" + p.discovery +
-           R"(","seed":")" + number(p.seed) + R"(","limits":{"cores":1.0,"memory_mb":192,"disk_mb":)" +
-           number(p.diskMb) + R"(,"sockets":1024},)" +
+           R"(","seed":")" + number(p.seed) + R"(","limits":{"cores":1.0,"memory_mb":)" + number(p.memoryMb) +
+           R"(,"disk_mb":)" + number(p.diskMb) + R"(,"sockets":)" + number(p.sockets) + "}," +
            (p.known.empty() ? "" : R"("known":)" + p.known + ",") +
            R"("settings":{"grades":[{"name":"notice","effect":"token","give-up-ns":28000000000,)"
            R"("slo-ns":4000000000,"key-scope":"all","key-ttl-ns":15000000000,"credit":1.0,)"
            R"("late-share":0.5}],)"
-           R"("accounts":[{"name":"acme","quota-per-s":1000}],"kinds":["partner"],"zones":["z"],)"
+           R"("accounts":[)" +
+           accounts +
+           R"(],"kinds":["partner"],"zones":["z"],)"
            R"("balancers":)" +
            number(p.senders) + R"(,"ordinal":)" + number(p.self) +
            R"(,"weights":"nominal","domain":{"max-calls":)" + number(p.slots) +
@@ -57,6 +63,8 @@
 
 }  // namespace
 
+std::string tenant(std::uint32_t number) { return number == 0 ? "acme" : "t" + std::to_string(number); }
+
 SenderProcess::SenderProcess(SenderPlan plan) : plan_(std::move(plan)) {
     std::filesystem::create_directories(state());
 }
--- a/lab/rig/sender.hpp
+++ b/lab/rig/sender.hpp
@@ -18,10 +18,13 @@
     int senders = 1, self = 0;
     bool mayProbe = true;
     int diskMb = 3;
-    int slots = 24, held = 400;
+    int slots = 24, held = 400, sockets = 1024, memoryMb = 192, tenants = 1;
     std::uint64_t seed = 1;
 };
 
+/// The name of a tenant, by its number in a load.
+std::string tenant(std::uint32_t number);
+
 class SenderProcess {
   public:
     explicit SenderProcess(SenderPlan plan);
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -17,6 +17,7 @@
 
 #include "http/message.hpp"
 #include "kept/kept.hpp"
+#include "load/loader.hpp"
 #include "net/socket.hpp"
 #include "rig/sender.hpp"
 #include "standin/partner.hpp"
@@ -26,9 +27,7 @@
 
 // Each run has a block of loopback addresses of its own, so that runs side by side don't meet.
 constexpr const char* kBlock = "127.64.0.0/12";
-constexpr int kClientThreads = 96;
-constexpr milliseconds kClientWaits{400};
-constexpr int kClientTries = 3;  // after a refusal
+constexpr int kClientConnections = 384;
 
 trust::WallMs wallNow() {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -52,130 +51,6 @@
     boost::asio::ip::address_v4_iterator next_;
 };
 
-struct Wanted {  // a message, as its client sees it
-    std::uint64_t destination = 0;
-    std::string key;
-    Moment at;
-    std::vector<std::string> taken;  // ids under which a sender took it on
-    int tries = 0;
-};
-
-/// Clients: each hands one message in at a time, again after a refusal, at another sender where one is dead.
-class Clients {
-  public:
-    Clients(std::vector<std::string> senders, Ledger& ledger, milliseconds deadline)
-        : senders_(std::move(senders)), ledger_(ledger), deadline_(deadline) {
-        for (int i = 0; i < kClientThreads; ++i) threads_.emplace_back([this] { work(); });
-    }
-    ~Clients() { finish(); }
-
-    void hand(Wanted message) {
-        const std::lock_guard lock(mutex_);
-        due_.push_back(std::move(message));
-        changed_.notify_one();
-    }
-    void finish() {
-        {
-            const std::lock_guard lock(mutex_);
-            ending_ = true;
-            changed_.notify_all();
-        }
-        for (auto& thread : threads_)
-            if (thread.joinable()) thread.join();
-    }
-    std::vector<Wanted> done;  // after finish()
-
-  private:
-    void work() {
-        std::map<std::string, net::Fd> kept;
-        for (;;) {
-            Wanted message;
-            {
-                std::unique_lock lock(mutex_);
-                changed_.wait(lock, [&] { return ending_ || !due_.empty(); });
-                if (due_.empty()) return;
-                message = std::move(due_.front());
-                due_.pop_front();
-            }
-            handIn(message, kept);
-            const std::lock_guard lock(mutex_);
-            done.push_back(std::move(message));
-        }
-    }
-
-    void handIn(Wanted& message, std::map<std::string, net::Fd>& kept) {
-        const auto until = message.at + deadline_;
-        bool again = false;
-        while (message.tries <= kClientTries && Steady::now() < until) {
-            const auto n = count_++;
-            const auto& sender = senders_[n % senders_.size()];
-            const auto id = message.key + "-" + std::to_string(message.tries++);
-            ledger_.expect(id, message.key, message.destination);
-            milliseconds after{400};
-            const int status = ask(message, id, sender, again, kept, after);
-            if (status == 202 || status == 200) {
-                message.taken.push_back(id);
-                return;
-            }
-            if (status >= 400 && status != 429 && status != 503) return;
-            again = status == 0;
-            std::this_thread::sleep_for(std::min(after, milliseconds(3000)));
-        }
-    }
-
-    int ask(const Wanted& message, const std::string& id, const std::string& sender, bool again,
-            std::map<std::string, net::Fd>& kept, milliseconds& after) {
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(message.at + deadline_ - Steady::now()).count();
-        http::Fields fields{{"Req-Id", id},
-                            {"Req-Kind", "notice"},
-                            {"Req-Owner", "acme"},
-                            {"Req-Deadline-Ms", std::to_string(std::max<long>(1, left))},
-                            {"Idempotency-Key", message.key},
-                            {"X-Route-To", "dest=" + std::to_string(message.destination)}};
-        if (message.tries > 1) fields.emplace_back("Req-Retry", again ? "again" : "1");
-        const auto bytes = http::request("POST", "/notice", sender, fields, std::string(200, 'b'));
-        for (int round = 0; round < 2; ++round) {
-            net::Fd fd = std::move(kept[sender]);
-            const bool warm = static_cast<bool>(fd) && net::quiet(fd.get());
-            const auto until = net::Steady::now() + kClientWaits;
-            if (!warm) {
-                fd = net::tcpSocket();
-                if (!fd || !net::connectBy(fd.get(), *net::address(sender), until)) return 0;
-            }
-            http::Parser parser(http::Parser::Role::response);
-            bool begun = false;
-            if (net::sendAll(fd.get(), bytes, until) == net::Io::done) {
-                for (std::string got; net::receive(fd.get(), got, until) == net::Io::done; got.clear()) {
-                    begun = true;
-                    if (parser.feed(got) == http::Parser::State::complete) break;
-                }
-            }
-            if (parser.state() == http::Parser::State::complete) {
-                const auto& answer = parser.message();
-                if (const auto* wait = answer.headers.find("Retry-After"))
-                    if (const auto seconds = http::decimal(*wait))
-                        after = milliseconds(static_cast<long>(*seconds * 1000));
-                if (answer.keepsAlive()) kept[sender] = std::move(fd);
-                return answer.status;
-            }
-            // A kept connection that the sender closed between requests: once more, on a new one.
-            if (!warm || begun || net::Steady::now() >= until) return 0;
-        }
-        return 0;
-    }
-
-    std::vector<std::string> senders_;
-    Ledger& ledger_;
-    milliseconds deadline_;
-    std::atomic<std::size_t> count_{0};
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    std::deque<Wanted> due_;
-    bool ending_ = false;
-    std::vector<std::thread> threads_;
-};
-
 class World {
   public:
     World(const Scenario& scenario, const Options& options)
@@ -209,18 +84,24 @@
     }
 
     void makeFleet() {
-        for (int i = 0; i < set_.partners; ++i) {
-            auto model = partner(set_, i);
+        const auto* given = set_.given.get();
+        const int count = given ? static_cast<int>(given->fleet.partners.size()) : set_.partners;
+        for (int i = 0; i < count; ++i) {
+            auto model = given ? given->fleet.partners[static_cast<std::size_t>(i)].does : partner(set_, i);
+            // Partners are found by their number.
+            model.destination = 100 + static_cast<std::uint64_t>(i);
             model.oneSender = options_.exact && set_.senders == 1;
             partners_.push_back(
                 std::make_unique<Partner>(model, ledger_, set_.seed * 1000 + static_cast<unsigned>(i)));
-            for (int k = 0; k < set_.endpoints; ++k) {
+            const auto* is = given ? &given->fleet.partners[static_cast<std::size_t>(i)] : nullptr;
+            for (int k = 0; k < (is ? is->endpoints : set_.endpoints); ++k) {
                 const auto name = fmt::format("s-{}-{}", i, k);
                 const auto address = addresses_.next(8443);
                 discovery_.tell({name, address, "z", "partner", model.destination, listing::Status::serving,
                                  model.told, 0});
-                partners_.back()->open(name, address);
+                partners_.back()->open(name, address, is ? is->zone(k) : 0);
             }
+            if (is && is->coldAtStart) partners_.back()->coolDown();
         }
         before_ = discovery_.endpoints();
         beforeIndex_ = discovery_.index();
@@ -230,6 +111,15 @@
     void makeSenders() {
         for (int i = 0; i < set_.senders; ++i) {
             SenderPlan plan;
+            if (set_.given) {
+                const auto& has = set_.given->fleet.senders;
+                plan.slots = has.slots;
+                plan.held = has.held;
+                plan.sockets = has.sockets;
+                plan.memoryMb = has.memoryMb;
+                for (const auto& m : set_.given->messages)
+                    plan.tenants = std::max(plan.tenants, static_cast<int>(m.tenant) + 1);
+            }
             plan.program = options_.program;
             plan.settings = options_.settings;
             plan.logLevel = options_.logLevel;
@@ -343,6 +233,11 @@
                 for (auto& sender : senders_) sender->moveDiscovery(elsewhere_.address());
                 discovery_.setMode(Discovery::Mode::refusing);
                 break;
+            case Event::Kind::slow: partners_[event.which]->slow(event.factor); break;
+            case Event::Kind::zoneLost:
+            case Event::Kind::zoneBack:
+                zone(static_cast<int>(event.which), event.kind == Event::Kind::zoneLost);
+                break;
             case Event::Kind::kill: senders_[event.which]->kill(); break;
             case Event::Kind::stop: stopped(senders_[event.which]->stop()); break;
             case Event::Kind::start:
@@ -353,6 +248,17 @@
         }
     }
 
+    void zone(int which, bool lost) {
+        for (auto& partner : partners_) lost ? partner->down(which) : partner->up(which);
+        if (!set_.given) return;
+        for (std::size_t s = 0; s < senders_.size(); ++s) {
+            if (set_.given->fleet.senders.zone(static_cast<int>(s)) != which) continue;
+            if (lost) senders_[s]->kill();
+            else if (!senders_[s]->running() && !senders_[s]->start())
+                throw std::runtime_error("a sender did not get ready again; see " + senders_[s]->log());
+        }
+    }
+
     void stopped(int status) {
         if (status == 0) ++report_.cleanExits;
         else ++report_.badExits;
@@ -360,56 +266,147 @@
 
     /// Hands messages in at their moments, and carries out the events at theirs.
     void drive() {
-        std::vector<std::string> addresses;
-        for (const auto& sender : senders_) addresses.push_back(sender->plan().listen);
-        clients_ = std::make_unique<Clients>(addresses, ledger_, set_.deadline);
-        const auto load = model::draw(shape(set_), set_.seed);
-        begun_ = Steady::now();
+        load::Options options;
+        for (const auto& sender : senders_) options.senders.push_back(sender->plan().listen);
+        options.connections = kClientConnections;
+        if (set_.given) {
+            const auto& clients = set_.given->fleet.clients;
+            options.policy = {clients.tries, clients.pause, clients.patience, clients.adviceMost};
+        }
+        const auto drawn = set_.given ? set_.given->messages : model::draw(shape(set_), set_.seed);
+        for (const auto& h : drawn) {
+            load::Message message;
+            message.at = h.at;
+            message.destination = partners_.at(h.partner)->model().destination;
+            message.tenant = tenant(h.tenant);
+            message.key = fmt::format("{:08x}{:06d}", set_.seed, messages_.size());
+            message.deadline = deadline();
+            messages_.push_back(std::move(message));
+            tenants_.push_back(h.tenant);
+        }
+        options.trying = [this](const std::string& id, std::size_t m) {
+            ledger_.expect(id, messages_[m].key, messages_[m].destination);
+        };
+        if (options_.live) options.progress = [this](const load::Progress& now) { show(now); };
+        std::mutex playing;
+        std::condition_variable changed;
+        bool over = false;
+        begun_ = Steady::now() + milliseconds(20);
+        std::thread loading([&] {
+            try {
+                handed_ = load::play(messages_, options, begun_);
+            } catch (const std::exception& error) {
+                failed(error.what());
+            }
+            const std::lock_guard lock(playing);
+            over = true;
+            changed.notify_all();
+        });
         auto event = set_.events.begin();
         auto spoken = begun_;
-        for (std::size_t n = 0; n < load.size();) {
-            const auto next = begun_ + std::chrono::duration_cast<Moment::duration>(load[n].at);
-            const auto eventAt = event != set_.events.end() ? begun_ + event->at : Moment::max();
-            std::this_thread::sleep_until(std::min(next, eventAt));
-            if (eventAt <= next) {
+        for (;;) {
+            const auto now = Steady::now();
+            if (event != set_.events.end() && begun_ + event->at <= now) {
                 // Its own thread: a stop takes seconds, and the load goes on meanwhile.
                 events_.emplace_back([this, e = *event] {
                     try {
                         const std::lock_guard lock(eventMutex_);
                         carryOut(e);
                     } catch (const std::exception& error) {
-                        const std::lock_guard lock(failMutex_);
-                        failure_ = error.what();
+                        failed(error.what());
                     }
                 });
                 ++event;
                 continue;
             }
-            Wanted message;
-            message.destination = partners_[load[n].partner]->model().destination;
-            message.key = fmt::format("{:08x}{:06d}", set_.seed, n++);
-            message.at = Steady::now();
-            clients_->hand(std::move(message));
-            if (Steady::now() - spoken > std::chrono::seconds(2)) {
-                spoken = Steady::now();
-                const auto seconds =
-                    std::chrono::duration_cast<std::chrono::seconds>(spoken - begun_).count();
-                say(fmt::format("{} s: {} handed in, {} delivered", seconds, n, ledger_.counts().delivered));
+            if (now - spoken > std::chrono::seconds(2)) {
+                spoken = now;
+                say(now - begun_);
+            }
+            std::unique_lock lock(playing);
+            if (over && event == set_.events.end()) break;
+            const auto next = event != set_.events.end() ? begun_ + event->at : Moment::max();
+            changed.wait_until(lock, std::min(next, now + milliseconds(500)), [&] { return over; });
+            if (over && event != set_.events.end()) {
+                lock.unlock();
+                std::this_thread::sleep_until(next);
             }
         }
-        for (; event != set_.events.end(); ++event) {
-            std::this_thread::sleep_until(begun_ + event->at);
-            const std::lock_guard lock(eventMutex_);
-            carryOut(*event);
-        }
+        loading.join();
         for (auto& thread : events_) thread.join();
         if (!failure_.empty()) throw std::runtime_error(failure_);
     }
 
+    void failed(const std::string& what) {
+        const std::lock_guard lock(failMutex_);
+        failure_ = what;
+    }
+
+    void say(Moment::duration since) const {
+        if (!options_.progress) return;
+        const auto counts = ledger_.counts();
+        options_.progress(fmt::format("{} s: {} delivered, {} calls, {} refused",
+                                      std::chrono::duration_cast<std::chrono::seconds>(since).count(),
+                                      counts.delivered, counts.calls, counts.full));
+    }
+
+    /// The run as it stands, for whoever watches it.
+    void show(const load::Progress& clients) {
+        Live now;
+        now.name = set_.name;
+        now.seconds = clients.seconds;
+        now.span = messages_.empty() ? 0 : std::chrono::duration<double>(messages_.back().at).count();
+        now.clients = clients;
+        now.ledger = ledger_.counts();
+        for (const auto& partner : partners_) {
+            const auto& model = partner->model();
+            const auto& seen = now.ledger.byDestination[model.destination];
+            now.partners.push_back({"p" + std::to_string(model.destination - 100), model.capacity,
+                                    model.limit, seen.calls, seen.delivered, seen.refused, partner->isDown(),
+                                    partner->fallen()});
+        }
+        const auto note = [&](const char* what, std::size_t n, std::size_t& before) {
+            if (n > before)
+                failures_.push_back(fmt::format("{:6.1f} s  {} {}", now.seconds, n - before, what));
+            before = n;
+        };
+        note("messages that no sender took", clients.refused, shown_.refused);
+        note("hand-ins without an answer", clients.unanswered, shown_.unanswered);
+        note("calls turned away", now.ledger.full, shown_.full);
+        note("calls broken off", now.ledger.errors, shown_.errors);
+        note("PARTNERS PUSHED OVER", now.ledger.fallOvers, shown_.fallOvers);
+        while (failures_.size() > 12) failures_.pop_front();
+        now.failed.assign(failures_.begin(), failures_.end());
+        options_.live(now);
+    }
+
+    /// Share of the time of handing in during which nearly all slots of all senders were out.
+    double slotsOut() const {
+        const int slots = set_.given ? set_.given->fleet.senders.slots : senders_.front()->plan().slots;
+        const double enough = 0.9 * slots * static_cast<double>(senders_.size());
+        std::vector<std::pair<Moment, int>> steps;
+        for (const auto& call : ledger_.calls()) {
+            steps.emplace_back(call.begun, 1);
+            steps.emplace_back(call.at, -1);
+        }
+        std::sort(steps.begin(), steps.end());
+        const auto end = begun_ + (messages_.empty() ? Moment::duration{} : messages_.back().at);
+        Moment::duration full{};
+        int out = 0;
+        for (std::size_t i = 0; i + 1 < steps.size(); ++i) {
+            out += steps[i].second;
+            if (out >= enough) full += std::min(end, steps[i + 1].first) - std::min(end, steps[i].first);
+        }
+        return end > begun_
+                   ? std::chrono::duration<double>(full) / std::chrono::duration<double>(end - begun_)
+                   : 0;
+    }
+
+    milliseconds deadline() const { return set_.given ? set_.given->fleet.service.deadline : set_.deadline; }
+
     /// Waits until every message has its end, and judges.
     Report settle() {
-        clients_->finish();
-        const auto last = Steady::now() + set_.deadline + milliseconds(1000);
+        const auto last = Steady::now() + deadline() + milliseconds(1000);
         const auto ends = [&] {
             auto all = discovery_.notices();
             for (const auto& [id, notice] : elsewhere_.notices()) all.emplace(id, notice);
@@ -419,23 +416,27 @@
             const auto notices = ends();
             std::size_t left = 0;
             Moment at;
-            for (const auto& m : clients_->done)
-                for (const auto& id : m.taken) left += !notices.count(id) && !ledger_.deliveredAt(m.key, at);
+            for (std::size_t i = 0; i < messages_.size(); ++i)
+                for (const auto& id : handed_.messages[i].taken)
+                    left += !notices.count(id) && !ledger_.deliveredAt(messages_[i].key, at);
             return left;
         };
         while (Steady::now() < last && open() > 0) std::this_thread::sleep_for(milliseconds(50));
         report_.name = set_.name;
         const auto notices = ends();
-        const auto service = lab::service(set_);
-        std::vector<double> asked(static_cast<std::size_t>(set_.duration.count() / 1000 + 1)),
-            got(asked.size());
-        for (const auto& m : clients_->done) {
+        const auto service = set_.given ? set_.given->fleet.service : lab::service(set_);
+        model::Tally tally;
+        double asked10 = 0, got10 = 0;
+        report_.partners.resize(partners_.size());
+        for (std::size_t i = 0; i < messages_.size(); ++i) {
+            const auto& m = messages_[i];
+            const auto& handed = handed_.messages[i];
             ++report_.messages;
             Moment at;
             const bool delivered = ledger_.deliveredAt(m.key, at);
             report_.delivered += delivered;
-            if (m.taken.empty()) ++report_.refused;
-            for (const auto& id : m.taken) {
+            if (handed.taken.empty()) ++report_.refused;
+            for (const auto& id : handed.taken) {
                 ++report_.taken;
                 const auto it = notices.find(id);
                 if (it != notices.end() && !delivered)
@@ -443,21 +444,25 @@
                 if (it == notices.end() && !delivered) ++report_.lost;
                 if (it != notices.end() && it->second.contradicted) ++report_.contradicted;
             }
-            const auto second = std::chrono::duration_cast<std::chrono::seconds>(m.at - begun_).count();
-            const auto bucket =
-                std::min(static_cast<std::size_t>(std::max<long>(0, second)), asked.size() - 1);
-            asked[bucket] += 1;
-            if (!delivered) continue;
-            got[bucket] += service.worth(at - m.at);
+            const double worth = delivered ? service.worth(at - handed.due) : 0;
+            tally.add(m.at, tenants_[i], worth);
+            if (m.at < std::chrono::seconds(10)) asked10 += 1, got10 += worth;
+            auto& partner = report_.partners[m.destination - 100];
+            partner.asked += 1;
+            partner.lost += 1 - worth;
         }
-        double a = 0, g = 0;
-        for (std::size_t i = 0; i < asked.size(); ++i) {
-            a += asked[i];
-            g += got[i];
-            if (i == std::min<std::size_t>(9, asked.size() - 1)) report_.first10 = a > 0 ? g / a : 0;
-            if (asked[i] > 0) report_.service.push_back(got[i] / asked[i]);
+        report_.worth = tally.worth();
+        for (const double s : report_.worth.service)
+            if (s >= 0) report_.service.push_back(s);
+        report_.first10 = asked10 > 0 ? got10 / asked10 : 0;
+        report_.slotsOutShare = slotsOut();
+        report_.whole = report_.worth.whole;
+        report_.times = handed_.times;
+        for (const auto& call : ledger_.calls()) {
+            auto& partner = report_.partners[call.destination - 100];
+            partner.waiting += call.outcome == Outcome::waiting;
+            partner.full += call.outcome == Outcome::full;
         }
-        report_.whole = a > 0 ? g / a : 0;
         report_.ledger = ledger_.counts();
         for (const auto& sender : senders_)
             report_.readyMs[sender->plan().name] = static_cast<std::size_t>(sender->readyAfter().count());
@@ -476,7 +481,13 @@
     bool moved_ = false;
     std::vector<std::unique_ptr<Partner>> partners_;
     std::vector<std::unique_ptr<SenderProcess>> senders_;
-    std::unique_ptr<Clients> clients_;
+    std::vector<load::Message> messages_;
+    std::vector<std::uint32_t> tenants_;
+    load::Result handed_;
+    std::deque<std::string> failures_;
+    struct {
+        std::size_t refused = 0, unanswered = 0, full = 0, errors = 0, fallOvers = 0;
+    } shown_;
     std::vector<listing::Endpoint> before_;
     std::uint64_t beforeIndex_ = 0;
     std::string known_;
--- a/lab/rig/world.hpp
+++ b/lab/rig/world.hpp
@@ -9,12 +9,29 @@
 #include <string>
 #include <vector>
 
+#include "load/loader.hpp"
 #include "model/day.hpp"
 #include "rig/scenario.hpp"
 #include "standin/ledger.hpp"
 
 namespace laurelhaven::lab {
 
+/// A run while it goes on.
+struct Live {
+    std::string name;
+    double seconds = 0, span = 0;
+    load::Progress clients;
+    Ledger::Counts ledger;
+    struct Side {
+        std::string name;
+        double capacity = 0, limit = 0;
+        std::size_t calls = 0, delivered = 0, refused = 0;
+        bool down = false, fallen = false;
+    };
+    std::vector<Side> partners;
+    std::vector<std::string> failed;  ///< what just went wrong, the newest last
+};
+
 struct Options {
     std::string program;            ///< the sender
     std::string settings;           ///< of ours, or empty
@@ -25,6 +42,7 @@
     bool exact = true;
     bool keptList = true;  ///< false for a program that knows none: the configuration gives the old list
     std::function<void(const std::string&)> progress;  ///< a line now and then
+    std::function<void(const Live&)> live;             ///< several times a second
 };
 
 struct Report {
@@ -36,7 +54,15 @@
     Ledger::Counts ledger;
     std::vector<double> service;  ///< for each second of handing in, the worth delivered of that asked for
     double whole = 0;             ///< over the whole run
-    double first10 = 0;           ///< over the first 10 s
+    model::Worth worth;
+    struct Side {                           ///< of one partner
+        double asked = 0, lost = 0;         ///< messages, and the worth they did not have
+        std::size_t waiting = 0, full = 0;  ///< calls turned away for its limit, and for its queue
+    };
+    std::vector<Side> partners;
+    double slotsOutShare = 0;  ///< of the time of handing in, with nearly all slots of all senders out
+    load::Times times;         ///< of the answers at the senders' front
+    double first10 = 0;        ///< over the first 10 s
     std::map<std::string, std::size_t> readyMs;  ///< by sender, at its last start
     std::size_t residentBytes = 0;               ///< of the first sender, at the end
     std::size_t cleanExits = 0, badExits = 0;
--- a/lab/standin/ledger.cpp
+++ b/lab/standin/ledger.cpp
@@ -60,8 +60,13 @@
     const std::lock_guard lock(mutex_);
     if (const auto it = messages_.find(record.id); it != messages_.end()) it->second.open.erase(record.call);
     counts_.delivered += record.outcome == Outcome::delivered;
-    counts_.full += record.outcome == Outcome::full || record.outcome == Outcome::waiting;
-    counts_.errors += record.outcome == Outcome::error;
+    const bool refused = record.outcome == Outcome::full || record.outcome == Outcome::waiting;
+    counts_.errors += record.outcome == Outcome::error || record.outcome == Outcome::broken;
+    auto& side = counts_.byDestination[record.destination];
+    ++side.calls;
+    side.delivered += record.outcome == Outcome::delivered;
+    side.refused += refused;
+    counts_.full += refused;
     calls_.push_back(record);
 }
 
--- a/lab/standin/ledger.hpp
+++ b/lab/standin/ledger.hpp
@@ -20,7 +20,7 @@
 const char* name(Outcome outcome);
 
 struct CallRecord {
-    Moment at;
+    Moment begun, at;
     std::string endpoint, id;
     std::uint64_t destination = 0;
     Outcome outcome = Outcome::broken;
@@ -69,6 +69,10 @@
         std::size_t duringWait = 0;
         std::size_t fallOvers = 0;
         std::map<std::uint64_t, std::size_t> probes;  ///< by destination
+        struct Side {
+            std::size_t calls = 0, delivered = 0, refused = 0;
+        };
+        std::map<std::uint64_t, Side> byDestination;
     };
     Counts counts() const;
     /// When the message was first delivered, if it was.
--- a/lab/standin/partner.cpp
+++ b/lab/standin/partner.cpp
@@ -27,9 +27,10 @@
     for (auto& [id, point] : endpoints_) point->server->stop();
 }
 
-void Partner::open(const std::string& endpoint, const std::string& address) {
+void Partner::open(const std::string& endpoint, const std::string& address, int zone) {
     auto point = std::make_unique<Point>();
     point->id = endpoint;
+    point->zone = zone;
     Point* raw = point.get();
     point->server = std::make_unique<Server>(
         address, [this, raw](const http::Message& m, Connection& c) { return answer(*raw, m, c); });
@@ -69,7 +70,55 @@
         if (desk_.fallen()) return;
         isDown_ = false;
     }
-    for (auto& [id, point] : endpoints_) point->server->start();
+    for (auto& [id, point] : endpoints_)
+        if (!point->down) point->server->start();
+}
+
+void Partner::down(int zone) {
+    for (auto& [id, point] : endpoints_)
+        if (point->zone == zone && !point->down) {
+            {
+                const std::lock_guard lock(mutex_);
+                point->down = true;
+            }
+            point->server->stop();
+        }
+    settle();
+}
+
+void Partner::up(int zone) {
+    const bool none =
+        std::all_of(endpoints_.begin(), endpoints_.end(), [](const auto& p) { return p.second->down; });
+    if (none) coolDown();
+    std::vector<Point*> back;
+    for (auto& [id, point] : endpoints_)
+        if (point->zone == zone && point->down) {
+            const std::lock_guard lock(mutex_);
+            point->down = false;
+            back.push_back(point.get());
+        }
+    settle();
+    for (auto* point : back)
+        if (!isDown_) point->server->start();
+}
+
+/// Its capacity is what its endpoints that are there have of it.
+void Partner::settle() {
+    const std::lock_guard lock(mutex_);
+    const auto there =
+        std::count_if(endpoints_.begin(), endpoints_.end(), [](const auto& p) { return !p.second->down; });
+    desk_.setPart(static_cast<double>(there) /
+                  static_cast<double>(std::max<std::size_t>(1, endpoints_.size())));
+}
+
+void Partner::slow(double factor) {
+    const std::lock_guard lock(mutex_);
+    desk_.setSlow(factor);
+}
+
+bool Partner::isDown() const {
+    const std::lock_guard lock(mutex_);
+    return isDown_;
 }
 
 bool Partner::fallen() const {
@@ -109,6 +158,7 @@
 
 bool Partner::call(Point& point, const http::Message& message, Connection& connection) {
     CallRecord record;
+    record.begun = Steady::now();
     record.endpoint = point.id;
     record.destination = model().destination;
     if (const auto* id = message.headers.find("Req-Id")) record.id = *id;
@@ -152,7 +202,7 @@
     std::this_thread::sleep_until(done);
     {
         const std::lock_guard lock(mutex_);
-        if (isDown_ || desk_.fallen()) {
+        if (isDown_ || point.down || desk_.fallen()) {
             record.outcome = Outcome::broken;
             record.at = Steady::now();
             ledger_.ended(record);
--- a/lab/standin/partner.hpp
+++ b/lab/standin/partner.hpp
@@ -23,7 +23,7 @@
     ~Partner();
 
     /// An endpoint of it; listens at once.
-    void open(const std::string& endpoint, const std::string& address);
+    void open(const std::string& endpoint, const std::string& address, int zone = 0);
     /// The endpoint drains: it answers 503, probes too.
     void drain(const std::string& endpoint);
     /// Nobody is there any more.
@@ -34,19 +34,28 @@
     void down();
     /// Back, with `coldFrom` of its capacity.
     void up();
+    /// Its endpoints in that zone refuse connections; its capacity is what the others have.
+    void down(int zone);
+    /// They are back: cold, where none of the others was there.
+    void up(int zone);
+    /// Calls take so many times as long from now on.
+    void slow(double factor);
     /// Cold since now, without having been down: it came back a moment ago.
     void coolDown();
     bool fallen() const;
+    bool isDown() const;
     const PartnerModel& model() const { return desk_.model(); }
 
   private:
     struct Point {
         std::string id;
-        bool draining = false;
+        int zone = 0;
+        bool draining = false, down = false;
         std::unique_ptr<Server> server;
     };
     bool answer(Point& point, const http::Message& message, Connection& connection);
     bool call(Point& point, const http::Message& message, Connection& connection);
+    void settle();
     bool arrived(Moment now);
     http::Fields load(Moment now) const;
 
--- a/src/trace/summary.cpp
+++ b/src/trace/summary.cpp
@@ -28,6 +28,13 @@
     greatest_ = std::max(greatest_, value);
 }
 
+void Spread::merge(const Spread& other) {
+    bins_ += other.bins_;
+    count_ += other.count_;
+    sum_ += other.sum_;
+    greatest_ = std::max(greatest_, other.greatest_);
+}
+
 double Spread::quantile(double q) const {
     if (count_ == 0) return 0;
     const double wanted = q * static_cast<double>(count_);
--- a/src/trace/summary.hpp
+++ b/src/trace/summary.hpp
@@ -19,6 +19,8 @@
     /// Between `least` and `most`, both above 0; what lies outside counts as the nearer end.
     Spread(double least, double most);
     void add(double value);
+    /// One of the same bounds.
+    void merge(const Spread& other);
     std::uint64_t count() const { return count_; }
     double sum() const { return sum_; }
     double greatest() const { return greatest_; }
