--- a/lab/load/loader.cpp
+++ b/lab/load/loader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <queue>
@@ -58,9 +59,9 @@
           next_(first),
           step_(step),
           most_(static_cast<std::size_t>(std::max(1, connections))),
+          epoll_(epoll_create1(EPOLL_CLOEXEC)),
+          timer_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)),
           idle_(shared.addresses.size()) {
-        epoll_ = net::Fd(epoll_create1(EPOLL_CLOEXEC));
-        timer_ = net::Fd(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC));
         if (!epoll_ || !timer_) fail("epoll");
         watch(timer_.get(), EPOLLIN, kTimer, EPOLL_CTL_ADD);
     }
