--- a/lab/agree/ladder.cpp
+++ b/lab/agree/ladder.cpp
@@ -42,6 +42,7 @@
     auto given = std::make_shared<lab::Given>();
     given->fleet = d.fleet();
     given->messages = d.messages(factor, seed);
+    for (const auto& p : d.partners) given->names.push_back(p.name);
     s.given = given;
     using From = model::Trouble::Kind;
     using To = lab::Event::Kind;
--- a/lab/rig/scenario.hpp
+++ b/lab/rig/scenario.hpp
@@ -45,6 +45,7 @@
 struct Given {
     model::Fleet fleet;
     std::vector<model::Handing> messages;
+    std::vector<std::string> names;  ///< of the partners, for whoever watches
 };
 
 struct Scenario {
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -361,9 +361,10 @@
         for (const auto& partner : partners_) {
             const auto& model = partner->model();
             const auto& seen = now.ledger.byDestination[model.destination];
-            now.partners.push_back({"p" + std::to_string(model.destination - 100), model.capacity,
-                                    model.limit, seen.calls, seen.delivered, seen.refused, partner->isDown(),
-                                    partner->fallen()});
+            const auto number = model.destination - 100;
+            now.partners.push_back({set_.given ? set_.given->names.at(number) : "p" + std::to_string(number),
+                                    model.capacity, model.limit, seen.calls, seen.delivered, seen.refused,
+                                    partner->isDown(), partner->fallen()});
         }
         const auto note = [&](const char* what, std::size_t n, std::size_t& before) {
             if (n > before)
--- a/lab/view/view.cpp
+++ b/lab/view/view.cpp
@@ -114,7 +114,7 @@
                        live.clients.taken, live.clients.refused, live.clients.unanswered, live.ledger.calls,
                        live.ledger.full));
     s.line("");
-    s.line(fmt::format("{:<8} {:>9} {:>9} {:>9} {:>9} {:>9}  {}", "partner", "does/s", "limit/s", "calls",
+    s.line(fmt::format("{:<16} {:>9} {:>9} {:>9} {:>9} {:>9}  {}", "partner", "does/s", "limit/s", "calls",
                        "delivered", "turned", "state"),
            0, true);
     // The ones with most trouble first, where they don't all fit.
@@ -126,7 +126,7 @@
     for (std::size_t i = 0; i < std::min(room, partners.size()); ++i) {
         const auto& p = partners[i];
         const double turned = p.calls > 0 ? static_cast<double>(p.refused) / static_cast<double>(p.calls) : 0;
-        s.line(fmt::format("{:<8} {:>9.1f} {:>9} {:>9} {:>9} {:>9}  {}", p.name, p.capacity,
+        s.line(fmt::format("{:<16} {:>9.1f} {:>9} {:>9} {:>9} {:>9}  {}", p.name, p.capacity,
                            p.limit > 0 ? fmt::format("{:.1f}", p.limit) : std::string("-"), p.calls,
                            p.delivered, p.refused,
                            p.fallen       ? "PUSHED OVER"
--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -109,6 +109,7 @@
     EXPECT_EQ(outcome.runs[1].delivered, outcome.runs[1].messages);
     EXPECT_FALSE(seen.empty());
     EXPECT_EQ(seen.back().partners.size(), 2u);
+    EXPECT_EQ(seen.back().partners[1].name, "b");
     EXPECT_GT(seen.back().ledger.calls, 0u);
 }
 
