--- a/lab/experiment/page.cpp
+++ b/lab/experiment/page.cpp
@@ -45,7 +45,7 @@
 /// A chart of lines. Colours come from the page, and so follow light and dark.
 std::string chart(const std::string& title, const std::string& x, const std::string& y,
                   const std::vector<Line>& lines, bool logarithmic) {
-    constexpr double kWide = 720, kHigh = 260, kLeft = 56, kBottom = 40, kTop = 12, kRight = 12;
+    constexpr double kWide = 720, kHigh = 260, kLeft = 56, kBottom = 40, kTop = 12, kRight = 28;
     double x0 = 1e300, x1 = -1e300, y0 = logarithmic ? 1e-4 : 0, y1 = 1;
     const auto axis = [&](double v) { return logarithmic ? std::log10(std::max(v, 1e-6)) : v; };
     for (const auto& line : lines)
