--- a/Makefile
+++ b/Makefile
@@ -34,13 +34,13 @@
 test-plain:
 	cmake -B build-test -DSTOATHUB_TESTS=ON -DLAURELHAVEN_LAB=ON -DSTOATHUB_WERROR=ON
 	cmake --build build-test -j$(JOBS)
-	ctest --test-dir build-test -j$(JOBS) --output-on-failure
+	ctest --test-dir build-test -j4 --output-on-failure
 
 test-sanitized:
 	cmake -B build-san -DSTOATHUB_TESTS=ON -DLAURELHAVEN_LAB=ON -DSTOATHUB_WERROR=ON -DCMAKE_BUILD_TYPE=Debug \
 	    -DCMAKE_CXX_FLAGS="$(SANITIZE)"
 	cmake --build build-san -j$(JOBS)
-	ctest --test-dir build-san -j$(JOBS) --output-on-failure
+	ctest --test-dir build-san -j4 --output-on-failure
 
 lint:
 	clang-format --dry-run -Werror $(SOURCES)
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -6,8 +6,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <mutex>
-#include <thread>
 
 #include "agree/agree.hpp"
 #include "agree/ladder.hpp"
@@ -38,34 +36,18 @@
     for (const auto& file : files) {
         const auto scenario = seeded(file, seed);
         std::vector<std::string> told(static_cast<std::size_t>(days));
-        std::atomic<std::size_t> next{0};
         std::atomic<bool> kept{true};
-        std::exception_ptr failure;
-        std::mutex mutex;
-        const auto work = [&] {
-            try {
-                for (auto i = next++; i < told.size(); i = next++) {
-                    auto one = scenario;
-                    one.seed += i;
-                    if (days > 1) one.name += " #" + std::to_string(one.seed);
-                    const auto begun = std::chrono::steady_clock::now();
-                    const auto day = agree::modelled(one);
-                    const double took =
-                        std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
-                    told[i] = json ? agree::json(one.name, day, took) : agree::text(one.name, day, took);
-                    if (!day.rules.kept()) kept = false;
-                }
-            } catch (...) {
-                const std::lock_guard lock(mutex);
-                failure = std::current_exception();
-            }
-        };
-        std::vector<std::thread> threads;
-        const auto cores =
-            std::min<std::size_t>(std::max(1u, std::thread::hardware_concurrency()), told.size());
-        for (std::size_t i = 0; i < cores; ++i) threads.emplace_back(work);
-        for (auto& thread : threads) thread.join();
-        if (failure) std::rethrow_exception(failure);
+        plan::Runs(plan::Messages{}).each(told.size(), [&](std::size_t i) {
+            auto one = scenario;
+            one.seed += i;
+            if (days > 1) one.name += " #" + std::to_string(one.seed);
+            const auto begun = std::chrono::steady_clock::now();
+            const auto day = agree::modelled(one);
+            const double took =
+                std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+            told[i] = json ? agree::json(one.name, day, took) : agree::text(one.name, day, took);
+            if (!day.rules.kept()) kept = false;
+        });
         for (const auto& text : told) std::cout << text;
         if (!kept) status = 1;
     }
