Write an interval as JSON in one place

Cause: reports of plans and of experiments each had that function, and a header promised an error that is never thrown. Change: the experiment's report calls the planner's; the promise is gone. Behaviour stays. Measured: the planner's and the experiments' report tests pass, limits clean.

--- a/lab/agree/ladder.hpp
+++ b/lab/agree/ladder.hpp
@@ -13,8 +13,7 @@
 
 namespace laurelhaven::agree {
 
-/// The description's day at that load, for real senders. Throws lab::Bad for troubles that the laboratory's
-/// loopback can't cause.
+/// The description's day at that load, for real senders.
 lab::Scenario scenario(const fleet::Description& description, double factor, std::uint64_t seed);
 
 struct Rung {
--- a/lab/experiment/page.cpp
+++ b/lab/experiment/page.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "experiment/experiment.hpp"
+#include "plan/report.hpp"
 
 namespace laurelhaven::experiment {
 namespace {
@@ -13,14 +14,6 @@
     return fmt::format("{:+.3f} ({:+.3f} to {:+.3f})", i.mean, i.least, i.most);
 }
 
-Json::Value value(const plan::Interval& i) {
-    Json::Value one;
-    one["mean"] = i.mean;
-    one["least"] = i.least;
-    one["most"] = i.most;
-    return one;
-}
-
 std::string escaped(const std::string& text) {
     std::string out;
     for (const char c : text) {
@@ -173,10 +166,10 @@
         one["load"] = o.experiment.variants[v].load;
         for (const bool loopback : {false, true}) {
             if (loopback ? !o.experiment.loopback : !o.experiment.model) continue;
-            one[place(loopback)]["score"] = value(o.score(v, loopback));
-            if (v > 0) one[place(loopback)]["difference"] = value(o.difference(v, loopback));
+            one[place(loopback)]["score"] = plan::value(o.score(v, loopback));
+            if (v > 0) one[place(loopback)]["difference"] = plan::value(o.difference(v, loopback));
         }
-        if (o.experiment.loopback && o.experiment.model) one["disagreement"] = value(o.disagreement(v));
+        if (o.experiment.loopback && o.experiment.model) one["disagreement"] = plan::value(o.disagreement(v));
         root["variants"].append(one);
     }
     for (const auto& r : o.runs) {
--- a/lab/plan/report.cpp
+++ b/lab/plan/report.cpp
@@ -15,14 +15,6 @@
                             : fmt::format("{:.2f}", i.mean);
 }
 
-Json::Value value(const Interval& i) {
-    Json::Value one;
-    one["mean"] = i.mean;
-    one["least"] = i.least;
-    one["most"] = i.most;
-    return one;
-}
-
 Json::Value values(const std::vector<Bound>& bounds) {
     Json::Value all(Json::arrayValue);
     for (const auto& b : bounds) {
@@ -58,6 +50,14 @@
 
 }  // namespace
 
+Json::Value value(const Interval& i) {
+    Json::Value one;
+    one["mean"] = i.mean;
+    one["least"] = i.least;
+    one["most"] = i.most;
+    return one;
+}
+
 std::string text(const std::vector<Bound>& bounds) {
     std::string out =
         fmt::format("{:<32} {:>6} {:>11} {:>9}  {}\n", "by formula", "use", "strained at", "full at", "why");
--- a/lab/plan/report.hpp
+++ b/lab/plan/report.hpp
@@ -1,6 +1,8 @@
 // What a plan says, for people and for programs.
 #pragma once
 
+#include <json/value.h>
+
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 
 namespace laurelhaven::plan {
 
+Json::Value value(const Interval& interval);
 std::string text(const std::vector<Bound>& bounds);
 std::string json(const std::vector<Bound>& bounds);
 std::string text(const Breaks& breaks, const Description& description);
