Give a message up at once where a told wait outlasts it

Seen: a partner told a wait of 60 s; a message with 20 s left was held to its deadline and returned only then, with the wait as its advice. The operators' word is that to give up is to answer now.

Ruled out: retry(), which ends what a backoff would outlast, and the facade's own wait.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -676,6 +676,13 @@
         return g.effect == Effect::unsafe ? m.taken - kTick : m.keyedFrom + seconds(g.keyWindow);
     }
 
+    // Until when each way to the destination is told to wait.
+    Sec waitOver(Place& dest) {
+        Sec soonest = dest.targets.empty() ? dest.own.waitUntil : kNever;
+        for (Target* target : dest.targets) soonest = std::min(soonest, owner(*target).waitUntil);
+        return soonest;
+    }
+
     // Ends what can no longer be delivered, before the deadline.
     void sweep() {
         std::vector<std::uint64_t> late;
@@ -685,7 +692,9 @@
             const bool spent = m.attempts >= set_.maxAttempts;
             const Sec last = spent ? m.taken : std::min(lastSend(m), m.deadline);
             const Sec due = last - kAnswerMargin - kTick;
-            if (t_ > due) late.push_back(seq);
+            // Danger: a wait that outlasts the message leaves nothing to hope for; held to its end it would
+            // only keep its client from hearing when to come back.
+            if (t_ > due || waitOver(*m.place) > due) late.push_back(seq);
             else lookAt(due + kGuard);
         }
         for (const auto seq : late) end(seq);
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -255,6 +255,19 @@
     CHECK(down(0) && down(-1000) && !down(1000));
 }
 
+// A wait that outlasts the message: its end comes at once, with the wait, and not near its deadline.
+void whatIsGivenUpIsAnsweredAtOnce() {
+    Rig rig;
+    rig.hand("m");
+    const auto call = rig.facade.pick();
+    CHECK(rig.facade.begin(*call));
+    rig.facade.report(*call, ended(Ending::turnedAway, milliseconds(60000)));
+    CHECK(rig.ends.size() == 1 && rig.ends[0].end == store::End::returned && rig.ends[0].afterMs == 3000);
+    const auto verdict = rig.hand("n");
+    CHECK(verdict.kind == Kind::refused && verdict.after == milliseconds(3000));
+    CHECK(rig.facade.held() == 0 && rig.memory.live.empty());
+}
+
 void stoppingLeavesTheRestToTheStore() {
     Rig rig;
     rig.hand("m");
@@ -282,5 +295,6 @@
     endsComeOnceAndAtOnce();
     restartKeepsWhatIsOwed();
     failuresThatWereKnownDoNotCountTwice();
+    whatIsGivenUpIsAnsweredAtOnce();
     stoppingLeavesTheRestToTheStore();
 }
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -955,4 +955,22 @@
     EXPECT_EQ(rig.count("fresh"), 1);
 }
 
+TEST(GivenUp, AMessageThatAToldWaitOutlastsIsAnsweredAtOnceWithTheWait) {
+    Rig rig;
+    rig.hand("m", 0, seconds(10));
+    rig.hand("n", 0, seconds(10));
+    rig.hand("patient", 0, seconds(30));
+    rig.answer("m", Result::full, seconds(20));
+    EXPECT_TRUE(rig.ended("m"));
+    rig.answer("n", Result::full, seconds(20));
+    EXPECT_TRUE(rig.ended("n"));
+    EXPECT_EQ(rig.refused.at("m"), Duration(seconds(3)));  // as far as clients heed it
+    rig.hand("late", 0, seconds(10));
+    EXPECT_TRUE(rig.ended("late"));
+    rig.hand("also patient", 0, seconds(30));
+    rig.run(seconds(1));
+    EXPECT_FALSE(rig.ended("also patient"));
+    EXPECT_EQ(rig.count("also patient"), 0);
+}
+
 }  // namespace
