Keep waits and long outages for the endpoints that come after

Seen: a destination whose endpoints had all gone was forgotten with the next news of the list, though a told wait of 100 s was on, or though it was in an outage that had begun a minute ago; its new endpoints got calls at full pace.

Cause: forget() measured from when a streak of failures began, not from when anything was last seen, and did not look at the wait. Ruled out: the whole replacement in one list, which leaves the destination no moment without endpoints.

Change: a destination is forgotten a warm-up and 30 s after anything was last seen of it, and never before its wait is over.

Guards that passed: all endpoints replaced in an outage, replaced with calls out, the same id restarted.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -157,6 +157,7 @@
     double rate = kNever;      // calls a second at most, learnt from refusals and the told limit
     double sent = 0;           // smoothed rate of calls sent
     Sec sentAt = 0, cutAt = -kNever;
+    Sec learntAt = 0;  // when anything was last seen of it
     double credit = 1;  // calls that the pace allows now
     Sec creditAt = 0;
     bool doubted = false;
@@ -331,6 +332,7 @@
         Owner& own = place(s.destination).own;
         if (own.told <= 0) own.told = s.told;
         own.down = own.down || s.down;
+        own.learntAt = t_;
         if (s.sinceCold) own.coldAt = std::max(own.coldAt, t_ - seconds(*s.sinceCold));
         if (s.doubted && !own.doubted) {
             // Senders that restart together must not make their first calls together.
@@ -356,8 +358,9 @@
         forget();
     }
 
-    // Closed endpoints with no call out, and destinations left without an endpoint, a message or an outage to
-    // remember: fleets change all the time, and what is gone for good must not be carried along.
+    // Closed endpoints with no call out, and destinations left without an endpoint, a message, or a wait or
+    // outage to remember: fleets change all the time, and what is gone for good must not be carried along.
+    // Danger: an outage that began long ago, or a wait, is as true of the endpoints that come after these.
     void forget() {
         unhush();  // it points to owners
         for (auto it = targets_.begin(); it != targets_.end();) {
@@ -371,8 +374,8 @@
         }
         std::erase_if(places_, [this](const auto& entry) {
             const Place& dest = entry.second;
-            const Sec quiet = std::max(dest.own.streakAt, dest.own.coldAt) + seconds(set_.warmUp) + kForget;
-            return dest.targets.empty() && dest.held == 0 && t_ > quiet;
+            const Sec quiet = std::max(dest.own.learntAt, dest.own.coldAt) + seconds(set_.warmUp) + kForget;
+            return dest.targets.empty() && dest.held == 0 && t_ > std::max(quiet, dest.own.waitUntil);
         });
     }
 
@@ -445,6 +448,7 @@
     void observe(Target& target, const Outcome& o) {
         Owner& own = owner(target);
         if (o.result == Result::moot || o.stale) return;
+        own.learntAt = t_;
         if (o.allowedRate && *o.allowedRate > 0) own.told = *o.allowedRate;
         if (o.allowedRate) own.heard = *o.allowedRate;
         const bool good = o.result == Result::delivered;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -973,4 +973,100 @@
     EXPECT_EQ(rig.count("also patient"), 0);
 }
 
+/// News of the list: these are all that there is.
+ListNews listOf(const std::vector<std::pair<EndpointId, DestinationId>>& all) {
+    ListNews news;
+    for (const auto& [id, destination] : all) news.entries.push_back({id, destination, 0, 0, {}, 0});
+    return news;
+}
+
+TEST(Replaced, AToldWaitHoldsForTheEndpointsThatComeAfter) {
+    Rig rig;
+    rig.hand("m", 0);
+    rig.answer("m", Result::full, seconds(100));
+    rig.turn({listOf({})});
+    rig.run(seconds(60));
+    rig.turn({listOf({{"other", 2}})});  // what is gone for good is forgotten with such news
+    rig.turn({listOf({{"other", 2}, {"new", 1}})});
+    rig.hand("n", 0, seconds(60));
+    rig.run(seconds(30));
+    EXPECT_EQ(rig.count("n"), 0);
+    rig.run(seconds(15));
+    EXPECT_EQ(rig.count("n"), 1);
+    EXPECT_EQ(rig.sent.back().endpoint, "new");
+}
+
+TEST(Replaced, AnOutageThatBeganLongAgoHoldsForTheEndpointsThatComeAfter) {
+    Rig rig;
+    for (int i = 0; i < 30; ++i) {  // a minute of it
+        const auto id = "m" + std::to_string(i);
+        rig.hand(id, 0, seconds(2));
+        rig.run(seconds(2));
+        if (rig.count(id) > 0 && !rig.ended(id)) rig.answer(id, Result::connectFailed);
+    }
+    rig.run(seconds(3));
+    rig.turn({listOf({})});
+    rig.turn({listOf({{"other", 2}})});
+    rig.turn({listOf({{"other", 2}, {"new", 1}})});
+    rig.sent.clear();
+    for (int i = 0; i < 20; ++i) rig.hand("n" + std::to_string(i), 0);
+    rig.run(seconds(1));
+    EXPECT_LE(rig.sent.size(), 2u);
+}
+
+TEST(Replaced, AllEndpointsAtOnceDuringAnOutageStillGetATrickle) {
+    Rig rig(plain(), 2);
+    for (int i = 0; i < 4; ++i) {
+        rig.hand("m" + std::to_string(i), 2);
+        rig.turn({rig.result("m" + std::to_string(i), Result::reset, {}, rig.sent.back().endpoint)});
+    }
+    rig.turn({listOf({{"new0", 1}, {"new1", 1}})});
+    rig.sent.clear();
+    for (int i = 0; i < 20; ++i) rig.hand("n" + std::to_string(i), 0);
+    rig.run(seconds(6));
+    EXPECT_LE(rig.sent.size(), 3u);
+    ASSERT_GE(rig.sent.size(), 1u);
+    EXPECT_EQ(rig.sent.back().endpoint.substr(0, 3), "new");
+}
+
+TEST(Replaced, WithACallOutItsOutcomeFreesTheSlotAndTheRetryGoesToTheNewOne) {
+    Rig rig;
+    rig.hand("m", 1);
+    rig.turn({listOf({{"new", 1}})});
+    rig.answer("m", Result::reset);
+    rig.run(seconds(1));
+    EXPECT_EQ(rig.count("m"), 2);
+    EXPECT_EQ(rig.sent.back().endpoint, "new");
+    rig.turn({rig.result("m", Result::delivered, {}, "new")});
+    for (int i = 0; i < 8; ++i) rig.hand("n" + std::to_string(i), 0);
+    EXPECT_EQ(rig.sent.size(), 2u + 6u);  // all of its part of the slots is free again
+}
+
+TEST(Replaced, TheSameIdRestartedIsTriedAgainWithinSecondsAndTakenAsWellOnceItDelivers) {
+    Rig rig(plain(), 2);
+    for (int i = 0; i < 40; ++i) {
+        const auto id = "m" + std::to_string(i);
+        rig.hand(id, 0);
+        const auto at = rig.sent.back().endpoint;
+        auto o = rig.result(id, at == "e0" && i < 20 ? Result::connectFailed : Result::delivered, {}, at);
+        rig.turn({o});
+        rig.run(milliseconds(50));
+        for (const auto& [again, n] : rig.attempts)  // retries go through
+            if (n > 1 && !rig.ended(again) && again != id)
+                rig.turn({rig.result(again, Result::delivered, {}, rig.sent.back().endpoint)});
+    }
+    rig.run(seconds(4));
+    rig.sent.clear();
+    for (int i = 0; i < 6; ++i) rig.hand("n" + std::to_string(i), 0);
+    int restarted = 0;
+    for (const auto& s : rig.sent) restarted += s.endpoint == "e0";
+    EXPECT_GE(restarted, 1);
+    for (const auto& s : rig.sent) rig.turn({rig.result(s.id, Result::delivered, {}, s.endpoint)});
+    rig.sent.clear();
+    for (int i = 0; i < 6; ++i) rig.hand("o" + std::to_string(i), 0);
+    restarted = 0;
+    for (const auto& s : rig.sent) restarted += s.endpoint == "e0";
+    EXPECT_GE(restarted, 2);
+}
+
 }  // namespace
