Take an id that stands for another destination for another endpoint

Seen: an id that the list named for another destination kept the first one in the module: messages for the old destination were sent to it, which the facade stopped before the first byte, at the cost of all their attempts; the new one got none.

Cause: list() set destination, kind and order when an id was first seen and never again. Ruled out: membership, which moves its entry, and the facade, whose last check held, so nothing went to a wrong partner.

Change: nothing learnt of the old endpoint holds; the new one begins once the calls to the one before have ended.

Measured: Replaced.AnIdThatStandsForAnotherDestinationIsAnotherEndpoint failed before, with and without a call out.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -351,7 +351,7 @@
             return;
         }
         if (news.kind != ListKind::saved) followPause_ = 0;
-        if (news.kind != ListKind::changes) ++lists_;
+        if (news.kind != ListKind::changes) ++lists_, later_.clear();
         for (const auto& e : news.entries) list(e);
         if (news.kind != ListKind::changes)
             for (auto& [id, target] : targets_) target.usable = target.usable && target.listed == lists_;
@@ -381,6 +381,16 @@
 
     void list(const Endpoint& e) {
         auto& target = targets_[e.id];
+        later_.erase(e.id);
+        // Danger: an id that stands for another destination now would get the old one's messages for good.
+        // It is another endpoint, which begins once the calls to the one before have ended.
+        if (!target.id.empty() && target.destination != e.destination) {
+            target.usable = false;
+            if (target.calls > 0) return void(later_[e.id] = e);
+            std::erase(place(target.destination).targets, &target);
+            unhush();
+            target = {};
+        }
         if (target.id.empty()) {
             target.id = e.id;
             target.destination = e.destination;
@@ -883,6 +893,11 @@
             const auto it = targets_.find(id);
             if (it == targets_.end() || it->second.calls > 0) continue;
             Target& target = it->second;
+            if (const auto next = later_.find(id); next != later_.end()) {
+                list(Endpoint(next->second));
+                lookAt(t_);
+                continue;
+            }
             const Sec until = std::max(droppedUntil_, scarceUntil_[target.kind]);
             const bool close = sparse(owner(target)) && t_ < until;
             target.keptUntil = close ? 0 : t_ + seconds(set_.keepAlive);
@@ -945,6 +960,7 @@
     double failed_[2] = {0, 0};  // smoothed shares of calls without an answer, on new and on kept connections
     Sec droppedUntil_ = 0;
     std::map<int, Sec> scarceUntil_;  // by kind: its endpoints take few connections
+    std::map<EndpointId, Endpoint> later_;  // ids that stand for another destination once their calls end
     std::vector<EndpointId> idle_;  // endpoints whose last call ended in this turn
     std::uint64_t lists_ = 0;     // whole lists heard
     std::vector<Action> actions_;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -1069,4 +1069,22 @@
     EXPECT_GE(restarted, 2);
 }
 
+TEST(Replaced, AnIdThatStandsForAnotherDestinationIsAnotherEndpoint) {
+    for (const bool out : {false, true}) {
+        Rig rig;
+        if (out) rig.hand("m", 0);
+        rig.turn({ListNews{ListKind::changes, {{"e0", 2, 0, 0, {}, 0}}}});
+        rig.sent.clear();
+        rig.turn({Handed{"n", 2, 0, seconds(10), {}}, Handed{"old", 1, 0, seconds(10), {}}});
+        EXPECT_EQ(rig.sent.size(), out ? 0u : 1u);
+        if (out) rig.answer("m", Result::delivered);
+        rig.run(milliseconds(50));
+        ASSERT_EQ(rig.sent.size(), 1u);
+        EXPECT_EQ(rig.sent[0].id, "n");
+        rig.run(seconds(11));
+        EXPECT_EQ(rig.count("old"), 0);
+        EXPECT_TRUE(rig.ended("old"));
+    }
+}
+
 }  // namespace
