End what a restart finds of a class that is no more

Seen: after a restart with a configuration of fewer classes, a message kept for one of the others never ended; it stayed in the facade, against the rule that each message taken on has its end in time, and held a place of maxHeld for good.

Cause: the module passes over a message of a class that it does not know; restore() held it all the same. Ruled out: the front, which denies such a class.

Change: restore() ends it at once, failed where it may have run and returned where not, and logs it.

Measured: aClassThatIsNoMoreEndsItsMessages failed before and passes.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -315,6 +315,15 @@
     const auto wall = wallNow();
     Events events;
     for (const auto& m : messages) {
+        // Danger: a configuration with fewer classes; the module takes no message of one that it does not know,
+        // and nobody would ever end it.
+        if (m.grade >= config_.settings.grades.size()) {
+            const bool ran = m.out || m.ranAt > 0;
+            hold({m.id, m.key, m.destination, m.grade, m.tenant, now, m.body});
+            log::error() << "a message of a class that is no more ends undelivered: " << m.id;
+            conclude(m.id, {m.id, ran ? store::End::failed : store::End::returned, 0});
+            continue;
+        }
         const milliseconds left(m.deadline - wall);
         Held& held = hold({m.id, m.key, m.destination, m.grade, m.tenant, now + left, m.body});
         // Until the list names it, as for any that it named a moment ago.
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -255,6 +255,18 @@
     CHECK(down(0) && down(-1000) && !down(1000));
 }
 
+// A restart with a configuration that has fewer classes: nobody would ever end what was taken for the others.
+void aClassThatIsNoMoreEndsItsMessages() {
+    Rig rig;
+    auto ran = left("ran", 9000, 1, 5000), fresh = left("fresh", 9000, 0, 0), known = left("known", 9000, 0, 0);
+    ran.grade = fresh.grade = 1;
+    for (const auto* m : {&ran, &fresh, &known}) rig.memory.live.insert(m->id);
+    rig.facade.restore({ran, fresh, known});
+    CHECK(rig.ends.size() == 2 && rig.facade.held() == 1);
+    CHECK(rig.ends[0].id == "ran" && rig.ends[0].end == store::End::failed);
+    CHECK(rig.ends[1].id == "fresh" && rig.ends[1].end == store::End::returned);
+}
+
 // A wait that outlasts the message: its end comes at once, with the wait, and not near its deadline.
 void whatIsGivenUpIsAnsweredAtOnce() {
     Rig rig;
@@ -295,6 +307,7 @@
     endsComeOnceAndAtOnce();
     restartKeepsWhatIsOwed();
     failuresThatWereKnownDoNotCountTwice();
+    aClassThatIsNoMoreEndsItsMessages();
     whatIsGivenUpIsAnsweredAtOnce();
     stoppingLeavesTheRestToTheStore();
 }
