Begin no repeat that has missed its key's window on the way

Seen: a repeat decided inside the 15 s in which receivers drop repeats could have its first byte up to a connect's second later; the receiver has forgotten the key by then, and the message takes effect twice.

Cause: the module checks the window when it decides; begin(), which asks again just before the first byte, knew the call's time-out alone. Ruled out: waits, drains and calls off, which begin() does ask about.

Change: a Send names the moment until which it may go, and holds() asks for it; a call too late is "not sent".

Measured: aRepeatThatMissedItsWindowDoesNotBegin failed before and passes.

--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -167,11 +167,13 @@
 
 // ---- actions ----
 
-/// Call the endpoint with the message; give the attempt up at tryUntil.
+/// Call the endpoint with the message; give the attempt up at tryUntil. If it has not gone out by goBy, it must not
+/// go at all, and is moot.
 struct Send {
     MessageId id;
     EndpointId endpoint;
     Time tryUntil;
+    Time goBy = Time::max();
 };
 /// Final answer: not delivered, and safe to hand in again, after retryIn if that is above 0.
 struct Refuse {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -857,7 +857,9 @@
         const double usual = std::max(own.latency, kFirstLatency);
         const double extra = set_.grades[m.grade].effect == Effect::unsafe ? kUnsafePatience : 1;
         const Sec until = std::min(m.deadline, t_ + extra * std::max(kLeastPatience, kPatience * usual));
-        actions_.push_back(Send{m.id, target.id, start_ + duration(until)});
+        const Sec last = lastSend(m);
+        actions_.push_back(Send{m.id, target.id, start_ + duration(until),
+                                last == kNever ? Time::max() : start_ + duration(last)});
     }
 
     // Danger: calls that get no answer, each at another destination, hold all slots and the well destinations
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -76,9 +76,11 @@
 }
 
 // Between the decision and the first byte lies a connect of up to a second. Meanwhile the partner may have
-// told another call to wait, the endpoint may be draining or gone, or the message over.
+// told another call to wait, the endpoint may be draining or gone, or the message over. Danger: the receivers may
+// forget its key meanwhile, and a repeat would take effect twice.
 bool Decisions::holds(const Held& held, const Call& call, Moment now) const {
-    if (held.over || !held.out || held.attempts != call.attempt + 1 || now >= call.until) return false;
+    if (held.over || !held.out || held.attempts != call.attempt + 1 || now >= call.until || now >= call.goBy)
+        return false;
     if (held.cancel.stop_requested()) return false;
     const auto endpoint = endpoints_.find(call.endpoint);
     if (endpoint == endpoints_.end() || !endpoint->second.serving) return false;
@@ -405,7 +407,7 @@
             calls_.push_back({send->id, held.in.key, held.in.body, send->endpoint,
                               seen == endpoints_.end() ? std::string() : seen->second.address,
                               held.in.destination, held.attempts++, now, moment(send->tryUntil),
-                              held.cancel.get_token()});
+                              moment(send->goBy), held.cancel.get_token()});
             due_.notify_one();
         } else if (const auto* refuse = std::get_if<stoathub::Refuse>(&action)) {
             const auto after = wholeMs(refuse->retryIn);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -49,6 +49,7 @@
     std::uint64_t destination = 0;
     int attempt = 0;
     Moment issued, until;  ///< given up then
+    Moment goBy;           ///< and not begun any more after this
     std::stop_token calledOff;
 };
 
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -255,6 +255,19 @@
     CHECK(down(0) && down(-1000) && !down(1000));
 }
 
+// A connect takes its time, and the receivers forget the key meanwhile.
+void aRepeatThatMissedItsWindowDoesNotBegin() {
+    Rig rig;
+    const auto again = left("again", 9000, 1, 14200);  // of 15 s
+    rig.memory.live.insert("again");
+    rig.facade.restore({again});
+    while (rig.facade.out() < 1) rig.facade.tick();  // after its backoff
+    const auto call = rig.facade.pick();
+    CHECK(rig.facade.begin(*call));
+    std::this_thread::sleep_for(milliseconds(900));
+    CHECK(call->until > decisions::Steady::now() && !rig.facade.begin(*call));
+}
+
 // A restart with a configuration that has fewer classes: nobody would ever end what was taken for the others.
 void aClassThatIsNoMoreEndsItsMessages() {
     Rig rig;
@@ -307,6 +320,7 @@
     endsComeOnceAndAtOnce();
     restartKeepsWhatIsOwed();
     failuresThatWereKnownDoNotCountTwice();
+    aRepeatThatMissedItsWindowDoesNotBegin();
     aClassThatIsNoMoreEndsItsMessages();
     whatIsGivenUpIsAnsweredAtOnce();
     stoppingLeavesTheRestToTheStore();
