--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -76,8 +76,8 @@
 }
 
 // Between the decision and the first byte lies a connect of up to a second. Meanwhile the partner may have
-// told another call to wait, the endpoint may be draining or gone, or the message over. Danger: the receivers may
-// forget its key meanwhile, and a repeat would take effect twice.
+// told another call to wait, the endpoint may be draining or gone, or the message over. Danger: the receivers
+// may forget its key meanwhile, and a repeat would take effect twice.
 bool Decisions::holds(const Held& held, const Call& call, Moment now) const {
     if (held.over || !held.out || held.attempts != call.attempt + 1 || now >= call.until || now >= call.goBy)
         return false;
@@ -317,8 +317,8 @@
     const auto wall = wallNow();
     Events events;
     for (const auto& m : messages) {
-        // Danger: a configuration with fewer classes; the module takes no message of one that it does not know,
-        // and nobody would ever end it.
+        // Danger: a configuration with fewer classes; the module takes no message of one that it does not
+        // know, and nobody would ever end it.
         if (m.grade >= config_.settings.grades.size()) {
             const bool ran = m.out || m.ranAt > 0;
             hold({m.id, m.key, m.destination, m.grade, m.tenant, now, m.body});
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t kMargin = 8 * kBlock;  // two files, and what the folder may count besides
 // Kept back for each live message, so that its attempts and its end always find room.
 constexpr std::uint64_t kReserve = 256;
+constexpr WallMs kLongAgo = 1;
 constexpr std::uint64_t kStale = 256 * 1024;  // records of what is over, beyond which a fresh file is written
 
 enum Type : char { kTake = 'T', kAttempt = 'A', kOutcome = 'O', kDone = 'D', kEnded = 'E', kNoticed = 'N' };
@@ -38,8 +39,12 @@
 
 Recovered Journal::recover() {
     const std::string text = readAll(file_.get());
-    const auto [good, damaged, records] =
-        scan(text, kMark, kLongest, [this](std::string_view payload) { apply(payload); });
+    const char* next = text.data();
+    const auto [good, damaged, records] = scan(text, kMark, kLongest, [&](std::string_view payload) {
+        if (payload.data() - kHead != next) doubt();
+        next = payload.data() + payload.size();
+        apply(payload);
+    });
     if (damaged > 0) log::error() << "journal: skipped " << damaged << " damaged bytes";
     if (good < text.size())
         log::warning() << "journal: dropped a torn tail of " << text.size() - good << " bytes";
@@ -54,6 +59,13 @@
     return found;
 }
 
+// Danger: what can't be read may have been an attempt. A message that was alive then may have run, nobody
+// knows when; sent again it might take effect twice.
+void Journal::doubt() {
+    for (auto& live : order_)
+        if (!live.over && !live.message.out && live.message.ranAt == 0) live.message.ranAt = kLongAgo;
+}
+
 std::string Journal::record(const Live& live) {
     if (live.over)
         return Writer(kEnded)
@@ -205,6 +217,9 @@
 }
 
 bool Journal::take(const Taken& message) {
+    // Danger: an id whose end is still owed, handed in again: the two would share one record, and the word
+    // that the platform knows the first one's end would strike out the second.
+    if (live_.count(message.id)) return false;
     Live live;
     live.message = message;
     const auto payload = record(live);
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -44,6 +44,7 @@
     void apply(std::string_view payload);
     void remember(Live live);
     void forget(const std::string& id);
+    void doubt();
     void weigh(Live& live);
     static std::string record(const Live& live);
 
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -271,7 +271,8 @@
 // A restart with a configuration that has fewer classes: nobody would ever end what was taken for the others.
 void aClassThatIsNoMoreEndsItsMessages() {
     Rig rig;
-    auto ran = left("ran", 9000, 1, 5000), fresh = left("fresh", 9000, 0, 0), known = left("known", 9000, 0, 0);
+    auto ran = left("ran", 9000, 1, 5000), fresh = left("fresh", 9000, 0, 0),
+         known = left("known", 9000, 0, 0);
     ran.grade = fresh.grade = 1;
     for (const auto* m : {&ran, &fresh, &known}) rig.memory.live.insert(m->id);
     rig.facade.restore({ran, fresh, known});
--- a/tests/laurelhaven/journal_test.cpp
+++ b/tests/laurelhaven/journal_test.cpp
@@ -141,6 +141,51 @@
     CHECK(!std::filesystem::exists(folder.path + "/messages.log.new"));
 }
 
+// What can't be read may have been an attempt: a message that was alive before it may have run, one that was
+// taken after it has not.
+void damageLeavesDoubt() {
+    const check::Folder folder;
+    const auto path = folder.path + "/messages.log";
+    std::size_t taken = 0, tried = 0;
+    {
+        Journal journal(folder.path, kDisk);
+        journal.recover();
+        CHECK(journal.take(message("m")) && journal.take(message("done")));
+        taken = journal.fileBytes();
+        CHECK(journal.attempt("m", 100));
+        tried = journal.fileBytes();
+        journal.done("done");
+        CHECK(journal.take(message("after")));
+    }
+    const auto bytes = slurp(path);
+    for (auto at = taken; at < tried; ++at) {
+        auto damaged = bytes;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x20);
+        spill(path, damaged);
+        const auto found = Journal(folder.path, kDisk).recover();
+        CHECK(found.messages.size() == 2 && found.messages[0].id == "m" && found.messages[0].ranAt > 0);
+        CHECK(found.messages[1].id == "after" && found.messages[1].ranAt == 0);
+    }
+}
+
+// An id whose end is owed is not taken again, or word of that end would strike out the second message.
+void anIdWhoseEndIsOwedIsNotTakenAgain() {
+    const check::Folder folder;
+    {
+        Journal journal(folder.path, kDisk);
+        journal.recover();
+        CHECK(journal.take(message("m")) && !journal.take(message("m")));
+        journal.ended({"m", End::returned, 500});
+        CHECK(!journal.take(message("m")));
+        CHECK(journal.take(message("other")));
+    }
+    Journal journal(folder.path, kDisk);
+    const auto found = journal.recover();
+    CHECK(found.notices.size() == 1 && found.messages.size() == 1);
+    journal.noticed("m");
+    CHECK(journal.take(message("m")));
+}
+
 }  // namespace
 
 int main() {
@@ -148,4 +193,6 @@
     everythingOwedComesBack();
     everyTornTailIsDropped();
     budgetIsKept();
+    damageLeavesDoubt();
+    anIdWhoseEndIsOwedIsNotTakenAgain();
 }
