Answer a request that came whole though its connection was told to go

Cause: where room is short makeRoom() shuts the reading side of a connection, and a stop does so for all. read() took the end that follows for the client's own, and closed, though the request had come whole and only its thread had had no turn. Ruled out: CPU of the machine (same on idle cores), the 2 s limit (answered 408), connections turned away at the door (first requests, not counted), half requests.

Change: whole() tells an end of ours from the client's; what came whole is answered, with a close. A connection in the middle of a request makes no room while bytes of it wait unread.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -70,14 +70,13 @@
     listener_.reset();
     std::unique_lock lock(mutex_);
     for (auto& c : connections_)
-        if (c.phase == Connection::Phase::idle || c.phase == Connection::Phase::draining)
-            net::shutReading(c.fd.get());
+        if (c.phase == Connection::Phase::idle || c.phase == Connection::Phase::draining) tellToGo(c);
     changed_.wait_for(lock, milliseconds(300), [this] {
         return std::all_of(connections_.begin(), connections_.end(),
                            [](const Connection& c) { return c.phase == Connection::Phase::over; });
     });
     for (auto& c : connections_)
-        if (c.phase != Connection::Phase::over) net::shutReading(c.fd.get());
+        if (c.phase != Connection::Phase::over) tellToGo(c);
     reap(lock);
     while (!connections_.empty()) {
         changed_.wait_for(lock, milliseconds(100));
@@ -163,17 +162,20 @@
         if (its == 0 || (least == Worth::rested && its < 4)) continue;
         if (worst && std::make_pair(its, worst->since) <= std::make_pair(rank(*worst), c.since)) continue;
         // Bytes that its thread has not come to yet may be a whole request.
-        if ((c.phase == Phase::idle || c.phase == Phase::fresh) &&
-            net::unread(c.fd.get()) == net::Unread::bytes)
-            continue;
+        if (c.phase != Phase::draining && net::unread(c.fd.get()) == net::Unread::bytes) continue;
         worst = &c;
     }
     if (!worst) return false;
-    worst->shut = true;
-    net::shutReading(worst->fd.get());
+    tellToGo(*worst);
     return true;
 }
 
+/// Wakes its thread, which answers what has come whole and ends. With the lock held.
+void Front::tellToGo(Connection& connection) {
+    connection.shut = true;
+    net::shutReading(connection.fd.get());
+}
+
 void Front::reap(std::unique_lock<std::mutex>& lock) {
     Connections done;
     for (auto it = connections_.begin(); it != connections_.end();) {
@@ -205,7 +207,7 @@
     Next next = read(connection, parser, came, true);
     while (next == Next::request) {
         enter(connection, Phase::answering);
-        next = answer(fd, parser.message(), came);
+        next = answer(fd, parser.message(), came, !toldToGo(connection));
         if (next != Next::request || stopping_) break;
         parser.next();
         enter(connection, Phase::idle);
@@ -219,6 +221,11 @@
     enter(connection, Phase::over);
 }
 
+bool Front::toldToGo(const Connection& connection) {
+    const std::lock_guard lock(mutex_);
+    return connection.shut;
+}
+
 /// One whole request, and nothing behind it. `came`: when it began; a first one is timed from the connect on.
 Front::Next Front::read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first) {
     using State = http::Parser::State;
@@ -248,18 +255,16 @@
         parser.feed(bytes);
     }
     if (parser.state() == State::bad) return refuse(parser.refusal(), "the request can't be taken\n");
-    // Danger: a length that is too short leaves the rest of the body where the next request would begin, and
-    // whoever wrote that body chose it. Clients send one request at a time, so bytes behind it are no
-    // request.
-    const auto behind = net::unread(fd);
-    if (parser.leftover() > 0 || behind == net::Unread::bytes)
-        return refuse(400, "more follows than the request's length says\n");
-    return behind == net::Unread::end ? Next::close
-                                      : Next::request;  // gone: it may hand the message in again
+    switch (whole(parser.leftover(), net::unread(fd), toldToGo(connection))) {
+        case Whole::answer: return Next::request;
+        case Whole::refuse: return refuse(400, "more follows than the request's length says\n");
+        case Whole::leave: break;
+    }
+    return Next::close;
 }
 
-Front::Next Front::answer(int fd, http::Message& request, net::Deadline came) {
-    bool keep = request.keepsAlive() && !stopping_;
+Front::Next Front::answer(int fd, http::Message& request, net::Deadline came, bool stays) {
+    bool keep = stays && request.keepsAlive() && !stopping_;
     const auto until = net::Steady::now() + kWrite;
     const auto say = [&](int status, const http::Fields& fields, std::string_view body) {
         const auto text = http::response(status, fields, request.method == "HEAD" ? "" : body, keep);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -49,7 +49,10 @@
     void serve(Connection& connection);
     void enter(Connection& connection, Connection::Phase phase);
     Next read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first);
-    Next answer(int fd, http::Message& request, net::Deadline came);
+    void tellToGo(Connection& connection);
+    bool toldToGo(const Connection& connection);
+    /// `stays`: the connection may carry another request.
+    Next answer(int fd, http::Message& request, net::Deadline came, bool stays);
 
     const config::Config& config_;
     decisions::Decisions& decisions_;
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -75,4 +75,14 @@
     return message;
 }
 
+// Danger: a length that is too short leaves the rest of the body where the next request would begin, and
+// whoever wrote that body chose it. Clients send one request at a time, so bytes behind it are no request.
+// Danger: where room is short, or at a stop, we end a connection's reading ourselves. A request may have come
+// whole before that while its thread had no turn on a busy core; its client is still there, and would get no
+// answer at all.
+Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo) {
+    if (leftover > 0 || behind == net::Unread::bytes) return Whole::refuse;
+    return behind == net::Unread::end && !toldToGo ? Whole::leave : Whole::answer;
+}
+
 }  // namespace laurelhaven::front
--- a/src/front/intake.hpp
+++ b/src/front/intake.hpp
@@ -8,6 +8,7 @@
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
 #include "http/message.hpp"
+#include "net/socket.hpp"
 
 namespace laurelhaven::front {
 
@@ -22,4 +23,10 @@
 std::variant<decisions::HandIn, Ready, Denied> intake(const config::Config& config, http::Message& request,
                                                       decisions::Moment came);
 
+/// What becomes of a request that has come whole: it is answered, refused, or its client has gone.
+enum class Whole { answer, refuse, leave };
+/// `leftover`: bytes read behind it. `behind`: what the connection holds now. `toldToGo`: we ended its
+/// reading.
+Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo);
+
 }  // namespace laurelhaven::front
--- a/tests/laurelhaven/parser_test.cpp
+++ b/tests/laurelhaven/parser_test.cpp
@@ -196,6 +196,20 @@
     CHECK(status("dest=7", "dest=x") == 400 && status("dest=7", "7") == 400 && status("5c0f", "") == 400);
 }
 
+// A request that came whole is answered, though we ended the reading; one whose client has gone may come
+// again.
+void whatCameWholeIsAnswered() {
+    using front::Whole;
+    using net::Unread;
+    for (const bool told : {false, true}) {
+        CHECK(front::whole(0, Unread::nothing, told) == Whole::answer);
+        CHECK(front::whole(0, Unread::bytes, told) == Whole::refuse);
+        CHECK(front::whole(3, Unread::end, told) == Whole::refuse);
+    }
+    CHECK(front::whole(0, Unread::end, false) == Whole::leave);
+    CHECK(front::whole(0, Unread::end, true) == Whole::answer);
+}
+
 void badConfigurationIsNamed() {
     const auto good = check::configuration("127.0.0.1:0", "127.0.0.1:1", check::entry("a", "127.0.0.1:2", 1));
     const std::map<std::string, std::string> environment{{"BALANCER_STATE", "/tmp"}};
@@ -237,5 +251,6 @@
     registryLinesInCutsAndGarbage();
     answersMeanWhatTheTableSays();
     badHandInsAreDenied();
+    whatCameWholeIsAnswered();
     badConfigurationIsNamed();
 }
