--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -120,6 +120,8 @@
 Result Delivery::attempt(const Call& call, const net::Address& address, int fd, bool warm, bool& keep) {
     const std::stop_callback shutIt(call.calledOff, [fd] { net::shut(fd); });
     const auto ended = [](Ending ending) { return Result{ending, false, {}, {}, {}}; };
+    // What was called off before shut nothing: a connect to a silent address would outlast a planned stop.
+    if (call.calledOff.stop_requested()) return ended(Ending::notSent);
     if (!warm) {
         const auto until = std::min(call.until, net::Steady::now() + config_.settings.connectTimeout);
         if (!net::connectBy(fd, address, until))
