Let halving leave one call, as the design has it

Need: DESIGN says one call at least, the code left two. The other difference, the backoff's floor (a random fraction of a quarter or more, not of zero or more), stays and is stated in the note: it keeps a retry from coming back at once.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -25,13 +25,12 @@
 constexpr double kFirstTriesPerRetry = 3;  // first tries that let time refill one retry's cost
 constexpr double kRefillPerSecond = 5;     // tokens; one retry a second, as far as first tries allow
 constexpr Sec kBackoffBase = 0.2;          // doubled with each attempt
-constexpr double kBackoffFloor = 0.25;     // least share of the backoff's range that chance may leave
+constexpr double kBackoffFloor = 0.25;     // the random fraction of the range is this or more: never at once
 constexpr double kWindowPart = 0.75;       // of the slots, where the window starts and its upper bound
 // The window's steps.
 constexpr double kLongRun = 3;       // smoothed latency over its best: halve
 constexpr double kShortRun = 2;      // and below this regrow
 constexpr double kWindowStep = 0.5;  // calls regained for a success
-constexpr double kWindowLeast = 2;   // calls that halving leaves: one slow call must not block the rest
 constexpr double kSmooth = 0.15;     // weight of a new latency or outcome in its average
 constexpr double kBestDrift = 0.02;  // how fast the best latency forgets, for each success
 constexpr double kFailing = 0.5;     // success share below which a destination counts as failing
@@ -490,7 +489,7 @@
         }
         // The window: halves as calls run long, regrows near the best recent latency.
         if (own.latency > kLongRun * own.best && t_ > own.halvedAt + own.latency) {
-            own.window = std::max(std::min(kWindowLeast, windowMost() * 1.0), own.window / 2);
+            own.window = std::max(1.0, own.window / 2);
             own.halvedAt = t_;
         } else if (good && own.latency < kShortRun * own.best) {
             own.window = std::min<double>(windowMost(), own.window + kWindowStep);
