--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -167,8 +167,8 @@
 
 // ---- actions ----
 
-/// Call the endpoint with the message; give the attempt up at tryUntil. If it has not gone out by goBy, it must not
-/// go at all, and is moot.
+/// Call the endpoint with the message; give the attempt up at tryUntil. If it has not gone out by goBy, it
+/// must not go at all, and is moot.
 struct Send {
     MessageId id;
     EndpointId endpoint;
