--- a/tests/lab/faults_test.cpp
+++ b/tests/lab/faults_test.cpp
@@ -50,6 +50,7 @@
     http::Fields fields{};
     milliseconds after{5};
     std::string raw{};  ///< sent in place of an answer
+    bool runs = false;  ///< it takes effect, whatever is answered
 };
 using Script = std::function<Act(int)>;
 
@@ -95,6 +96,7 @@
                 ledger_.waitBroken();
         }
         const Act act = script_(calls_++);
+        if (act.runs) ledger_.run(record.id, Steady::now());
         record.outcome = Outcome::broken;
         bool keep = false;
         if (act.kind == Act::silence) {
@@ -398,6 +400,23 @@
     EXPECT_EQ(a.calls(), 1);
 }
 
+// The first call took effect and its answer was lost; the next endpoint comes when the key is forgotten.
+TEST(Faults, NoRepeatOnceTheReceiversHaveForgottenItsKey) {
+    World world;
+    auto& a = world.point("a", [](int) { return Act{.kind = Act::close, .runs = true}; });
+    world.begin();
+    EXPECT_EQ(world.hand("m", milliseconds(20000)), 202);
+    await([&] { return a.calls() > 0; }, "no call came");
+    const auto ran = Steady::now();
+    a.server().stop();
+    world.discovery().remove("a");
+    std::this_thread::sleep_until(ran + milliseconds(15500));
+    auto& b = world.point("b", well);
+    world.settle();
+    EXPECT_EQ(b.calls(), 0);
+    EXPECT_EQ(world.delivered(), 0u);
+}
+
 TEST(Faults, AReturningPartnerIsNotPushedOver) {
     World world(24);
     PartnerModel model;
