--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -1087,4 +1087,29 @@
     }
 }
 
+TEST(Window, HalvesAsCallsRunLongLeavesOneAndRegrows) {
+    Rig rig;
+    int n = 0;
+    const auto deliver = [&](Duration took) {
+        const auto id = "m" + std::to_string(n++);
+        rig.hand(id, 0, seconds(60));
+        auto o = rig.result(id, Result::delivered);
+        o.took = took;
+        rig.now += took;
+        rig.turn({o});
+    };
+    for (int i = 0; i < 10; ++i) deliver(milliseconds(100));
+    for (int i = 0; i < 8; ++i) deliver(seconds(2));
+    rig.sent.clear();
+    for (int i = 0; i < 10; ++i) rig.hand("w" + std::to_string(i), 0, seconds(60));
+    EXPECT_EQ(rig.sent.size(), 1u);
+    for (std::size_t k = 0; k < rig.sent.size(); ++k)
+        rig.answer(std::string(rig.sent[k].id), Result::delivered);
+    EXPECT_EQ(rig.sent.size(), 10u);
+    for (int i = 0; i < 80; ++i) deliver(milliseconds(100));
+    rig.sent.clear();
+    for (int i = 0; i < 10; ++i) rig.hand("x" + std::to_string(i), 0, seconds(60));
+    EXPECT_EQ(rig.sent.size(), 6u);
+}
+
 }  // namespace
