Hold what a restart finds in one place, and drop what the removal left dead

Change: one hold and one question, whatever the class; the count and its field go; one copy of the notices. Behaviour is as it was.

--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -123,7 +123,6 @@
             }
             day_.partners.push_back({0, partner.does.capacity * seconds(kPeakSpan), {}});
         }
-        for (const auto& h : load) tenants_ = std::max<std::size_t>(tenants_, h.tenant);
         day_.callsTo.resize(sides_.size());
         day_.turnedAway.resize(sides_.size());
         day_.broken.resize(sides_.size());
@@ -803,7 +802,6 @@
     const std::vector<Handing>& load_;
     std::uint64_t seed_;
     const Sink& sink_;
-    std::size_t tenants_ = 0;  // the greatest of the load
     std::priority_queue<Event, std::vector<Event>, Later> queue_;
     std::uint64_t order_ = 0, next_ = 0;
     Instant now_{};
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -317,17 +317,17 @@
     const auto wall = wallNow();
     Events events;
     for (const auto& m : messages) {
+        const milliseconds left(m.deadline - wall);
+        // A call that was out when the process ended may have run.
+        const bool mayHaveRun = m.out || m.ranAt > 0;
+        Held& held = hold({m.id, m.key, m.destination, m.grade, m.tenant, now + left, m.body});
         // Danger: a configuration with fewer classes; the module takes no message of one that it does not
         // know, and nobody would ever end it.
         if (m.grade >= config_.settings.grades.size()) {
-            const bool ran = m.out || m.ranAt > 0;
-            hold({m.id, m.key, m.destination, m.grade, m.tenant, now, m.body});
             log::error() << "a message of a class that is no more ends undelivered: " << m.id;
-            conclude(m.id, {m.id, ran ? store::End::failed : store::End::returned, 0});
+            conclude(m.id, {m.id, mayHaveRun ? store::End::failed : store::End::returned, 0});
             continue;
         }
-        const milliseconds left(m.deadline - wall);
-        Held& held = hold({m.id, m.key, m.destination, m.grade, m.tenant, now + left, m.body});
         // Until the list names it, as for any that it named a moment ago.
         if (destinations_[m.destination].listed == 0) unlisted_.try_emplace(m.destination, now);
         held.attempts = static_cast<int>(m.attempts);
@@ -341,10 +341,9 @@
         // Danger: a failure on record may be long ago, and the partner well since; a few of them together
         // would make an outage of nothing, and ease the busiest partners in while the backlog waits.
         past.failures = m.sentAt > healthKnownUntil ? static_cast<int>(m.failures) : 0;
-        // A call that was out when the process ended may have run.
-        past.mayHaveRun = m.out || m.ranAt > 0;
+        past.mayHaveRun = mayHaveRun;
         const auto ranAt = m.ranAt > 0 ? m.ranAt : m.sentAt;
-        past.sinceRan = milliseconds(past.mayHaveRun ? std::max<store::WallMs>(0, wall - ranAt) : 0);
+        past.sinceRan = milliseconds(mayHaveRun ? std::max<store::WallMs>(0, wall - ranAt) : 0);
         handed.past = past;
         events.all.push_back(std::move(handed));
     }
--- a/tests/lab/faults_test.cpp
+++ b/tests/lab/faults_test.cpp
@@ -229,8 +229,8 @@
             },
             "a message that was taken on has no end");
         std::this_thread::sleep_for(milliseconds(300));  // a second end would come now
+        const auto notices = discovery_.notices();
         for (const auto& [id, due] : taken_) {
-            const auto notices = discovery_.notices();
             const auto it = notices.find(id);
             EXPECT_NE(deliveredAt(id), it != notices.end()) << id << " has two ends or none";
             if (it == notices.end()) continue;
