--- a/tests/lab/faults_test.cpp
+++ b/tests/lab/faults_test.cpp
@@ -17,6 +17,7 @@
 #include "check.hpp"
 #include "http/message.hpp"
 #include "net/socket.hpp"
+#include "places.hpp"
 #include "rig/sender.hpp"
 #include "standin/discovery.hpp"
 #include "standin/partner.hpp"
@@ -35,11 +36,6 @@
 constexpr milliseconds kInTime = milliseconds(350) + kBusy;
 constexpr milliseconds kExit = milliseconds(3500) + kBusy;
 
-std::string freeAddress() {
-    const auto fd = net::listenOn(*net::address("127.0.0.1:0"), 1);
-    return "127.0.0.1:" + std::to_string(net::portOf(fd.get()));
-}
-
 void await(const std::function<bool()>& done, const char* what) {
     for (const auto until = Steady::now() + kHang; !done(); std::this_thread::sleep_for(milliseconds(3)))
         ASSERT_LT(Steady::now(), until) << what;
@@ -150,7 +146,7 @@
         plan.program = PROGRAM;
         plan.folder = folder_.path + "/n0";
         plan.name = "n0";
-        plan.listen = freeAddress();
+        plan.listen = check::freeAddress();
         plan.discovery = discovery_.address();
         plan.slots = slots;
         plan.held = 100;
@@ -326,7 +322,7 @@
 // The connection breaks while the call is being written: it never ran, so it goes again.
 TEST(Faults, ResetBeforeTheLastByte) {
     World world;
-    const auto at = freeAddress();
+    const auto at = check::freeAddress();
     std::atomic<int> broken{0};
     std::thread breaker([&] {
         const auto listener = net::listenOn(*net::address(at), 16);
@@ -427,7 +423,7 @@
     model.serve = milliseconds(20);
     model.oneSender = true;
     Partner partner(model, world.ledger, 1);
-    const auto at = freeAddress();
+    const auto at = check::freeAddress();
     partner.open("p", at);
     world.discovery().tell({"p", at, "z", "partner", 7, listing::Status::serving, 0, 0});
     world.begin();
--- a/tests/lab/standin_test.cpp
+++ b/tests/lab/standin_test.cpp
@@ -6,6 +6,7 @@
 
 #include "http/message.hpp"
 #include "net/socket.hpp"
+#include "places.hpp"
 #include "standin/discovery.hpp"
 #include "standin/partner.hpp"
 
@@ -32,19 +33,13 @@
     return {parser.message().status, parser.message().body, parser.message().headers};
 }
 
-/// The address of an endpoint on a port that nothing listens on just now.
-std::string freePlace() {
-    const auto fd = net::listenOn(*net::address("127.0.0.1:0"), 1);
-    return "127.0.0.1:" + std::to_string(net::portOf(fd.get()));
-}
-
 std::string call(const std::string& id, const std::string& address) {
     return http::request("POST", "/hook", address, {{"Req-Id", id}, {"Idempotency-Key", "k"}}, "body");
 }
 
 struct Rig {
     Ledger ledger{std::chrono::seconds(15)};
-    std::string at = freePlace();
+    std::string at = check::freeAddress();
     PartnerModel model;
     std::unique_ptr<Partner> partner;
     void make() {
--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -19,10 +19,13 @@
 #include "delivery/idle.hpp"
 #include "http/message.hpp"
 #include "net/socket.hpp"
+#include "places.hpp"
 #include "trace/file.hpp"
 
 extern char** environ;
 using namespace laurelhaven;
+using check::freePort;
+using check::local;
 using std::chrono::milliseconds;
 
 namespace {
@@ -36,10 +39,6 @@
         CHECK(net::Steady::now() < until);
 }
 
-/// A port that nothing listens on just now.
-int freePort() { return net::portOf(net::listenOn(*net::address("127.0.0.1:0"), 1).get()); }
-std::string local(int port) { return "127.0.0.1:" + std::to_string(port); }
-
 /// Answers each request by a function; an empty answer leaves the connection open and silent.
 class Stub {
   public:
