Remember over later lives that an attempt was out at a kill

Time: ranAt and the window are on the wall clock, which runs on over a restart.

The second life's attempt overwrites sentAt, its outcome "turned away" clears `out`, and ranAt had never been set: the third life reads a message that never ran.

Change: an attempt begun while the one before has no outcome leaves since when that one may have run. The model's restart had the same fault and has the same mend.

Test: laurelhaven_journal, whatWasOutAtAKillMayHaveRunInEveryLaterLife; fails without the line.

--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -269,7 +269,8 @@
             stoathub::Past past;
             past.attempts = in.attempts;
             past.mayHaveRun = in.mayHaveRun || in.out != kNone;
-            if (past.mayHaveRun) past.sinceRan = now_ - (in.ranAt > Instant{} ? in.ranAt : in.sentAt);
+            if (past.mayHaveRun && !in.mayHaveRun) in.ranAt = in.sentAt;
+            if (past.mayHaveRun) past.sinceRan = now_ - in.ranAt;
             in.mayHaveRun = past.mayHaveRun;
             in.out = kNone;
             handed.past = past;
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -141,6 +141,10 @@
             if (const auto it = live_.find(id); it != live_.end()) {
                 Taken& m = it->second->message;
                 ++m.attempts;
+                // Danger: the attempt before this one was out when an earlier life ended, and has no outcome.
+                // That this one is turned away does not undo it; forgotten, a third life would take the
+                // message for one that never ran, and repeat it outside its key's window.
+                if (m.out && m.ranAt == 0) m.ranAt = m.sentAt;
                 m.out = true;
                 m.sentAt = sentAt;
             }
--- a/tests/laurelhaven/journal_test.cpp
+++ b/tests/laurelhaven/journal_test.cpp
@@ -74,6 +74,34 @@
     }
 }
 
+// An attempt that was out when its life ended may have run, whatever comes of those that later lives make:
+// each life must know since when, or a repeat falls outside its key's window.
+void whatWasOutAtAKillMayHaveRunInEveryLaterLife() {
+    const check::Folder folder;
+    const auto life = [&](const auto& work) {
+        Journal journal(folder.path, kDisk);
+        const auto found = journal.recover();
+        work(journal, found);
+    };
+    life([](Journal& journal, const Recovered&) {
+        CHECK(journal.take(message("m")) && journal.attempt("m", 100));
+    });
+    life([](Journal& journal, const Recovered& found) {
+        CHECK(found.messages.size() == 1 && found.messages[0].out);
+        for (const WallMs at : {200, 300}) {  // turned away, twice
+            CHECK(journal.attempt("m", at));
+            journal.outcome("m", false, false);
+        }
+    });
+    life([](Journal& journal, const Recovered& found) {
+        CHECK(found.messages.size() == 1 && !found.messages[0].out && found.messages[0].ranAt == 100);
+        CHECK(journal.attempt("m", 400));
+    });
+    life([](Journal&, const Recovered& found) {
+        CHECK(found.messages[0].out && found.messages[0].ranAt == 100 && found.messages[0].attempts == 4);
+    });
+}
+
 // A process may be killed at any byte: whatever was written whole is there, and the tail is dropped.
 void everyTornTailIsDropped() {
     const check::Folder folder;
@@ -191,6 +219,7 @@
 int main() {
     laurelhaven::log::setLevel(laurelhaven::log::Level::off);
     everythingOwedComesBack();
+    whatWasOutAtAKillMayHaveRunInEveryLaterLife();
     everyTornTailIsDropped();
     budgetIsKept();
     damageLeavesDoubt();
