Keep hundreds of senders under a told limit by equal parts that follow the room told

Refused calls use these limits up: past the limit nothing gets through, and the senders never fell below it.

Lines at fault, src/brain.cpp: adapt() kept each sender at 0.3 calls a second at least (kPaceFloor), which is 90 a second over 300 senders at each destination, and pace() lifted all bounds 3 s after a refusal.

Change: where a sender's part is small and a limit is told, it may send its equal part (0.9 of the limit over all), as a part that shrinks by refusals, grows by deliveries with the share left that they tell, and comes back to the equal one; an answer that tells room allows a further call at once. A cold destination is no longer sent a whole call a second by each sender that saw it answer. The log of a call names what its answer told.

--- a/lab/desk/desk.cpp
+++ b/lab/desk/desk.cpp
@@ -59,6 +59,7 @@
         creditAt_ = now;
         if (credit_ < 1) {
             result.kind = Admission::Kind::waiting;
+            if (model_.refusedCount) credit_ = std::max(-model_.limit, credit_ - 1);
             if (!model_.tellsWaits) return result;
             result.wait = std::min(kWaitMost, (1 - credit_) / model_.limit + 0.05);
             waitFrom_ = now + kLetThrough;
--- a/lab/desk/desk.hpp
+++ b/lab/desk/desk.hpp
@@ -24,6 +24,7 @@
     double capacity = 4;                   ///< calls a second when warm
     double limit = 0;                      ///< calls a second that it takes; 0: none but its capacity
     double told = 4;                       ///< the weight in the list
+    bool refusedCount = false;             ///< refused calls use the limit up, too
     std::chrono::milliseconds serve{200};  ///< usual time of a call
     double serveSpread = 0.25;             ///< sigma of its logarithm
     /// Where there are any, these go before both: shares of the calls in rising order, the last of them 1,
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -69,6 +69,15 @@
 constexpr double kPaceFloor = 0.3;  // calls a second that are always tried
 constexpr int kFewSenders = 8;      // so few see each destination often enough for streaks and averages
 constexpr double kSparse = 1;       // calls a second: a smaller part is too little to be paced by
+// One of very many senders at a told limit.
+constexpr double kEqual = 0.9;       // of the limit that the senders' equal parts add up to
+constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the left of the limit
+constexpr double kUntoldRoom = 0.6;  // taken for that share where a delivery tells none
+constexpr double kMore = 0.15;       // of the equal part that a delivery adds, times the same
+constexpr double kMostParts = 5;     // equal parts that one sender comes to at most
+constexpr double kEase = 0.7;        // of the part, after a refusal above the limit
+constexpr double kLeastPart = 0.4;   // equal parts that are left at least
+constexpr Sec kPartFades = 8;        // over which a part comes back to the equal one
 // Single endpoints.
 constexpr int kShunAfter = 2;  // failures on end; one is enough where no connection was made
 constexpr Sec kShun = 0.5;     // first time left alone, then doubled
@@ -91,7 +100,7 @@
 constexpr Sec kForget = 30;            // after a warm-up, a destination with no endpoint is forgotten
 constexpr Sec kGuard = 1e-6;           // keeps rounding from ending a wait early
 constexpr Sec kAnswerMargin = 0.005;   // final answers go out this long before the deadline
-constexpr double kDropped = 0.5;      // share of calls on kept connections without an answer: none is kept
+constexpr double kDropped = 0.5;       // share of calls on kept connections without an answer: none is kept
 constexpr Sec kScarce = 60;            // after a connection was refused, none is kept at that kind
 constexpr Sec kRefollow = 1.0;         // first pause before the list is asked for again
 constexpr Sec kRefollowMost = 8.0;     // and the longest
@@ -157,6 +166,8 @@
     double sent = 0;           // smoothed rate of calls sent
     Sec sentAt = 0, cutAt = -kNever;
     Sec learntAt = 0;  // when anything was last seen of it
+    double parts = 1;  // equal parts of the limit that this sender may send, at partsAt
+    Sec partsAt = 0;
     double credit = 1;  // calls that the pace allows now
     Sec creditAt = 0;
     bool doubted = false;
@@ -269,8 +280,7 @@
     std::vector<Balance> balances() const {
         std::vector<Balance> all;
         for (const auto& [id, dest] : places_)
-            all.push_back(
-                {id, dest.bucket.tokens, kBucketCapacity, dest.bucket.gained, dest.bucket.spent});
+            all.push_back({id, dest.bucket.tokens, kBucketCapacity, dest.bucket.gained, dest.bucket.spent});
         return all;
     }
 
@@ -470,7 +480,8 @@
             scarceUntil_[target.kind] = t_ + kScarce;
         if (!good && o.result != Result::full) ++target.streak;
         health(own, target, o);
-        adapt(own, o.result);
+        if (sparse(own) && own.told > 0) share(own, o);
+        else adapt(own, o.result);
         shun(target, o.result);
         if (o.result == Result::full) {
             if (o.wait > Duration{}) own.waitUntil = std::max(own.waitUntil, t_ + seconds(o.wait) + kGuard);
@@ -575,6 +586,31 @@
             target.avoidUntil = t_ + std::min(kShunMost, kShun * std::pow(2.0, target.streak - 1));
     }
 
+    // Danger: hundreds of senders that each try now and then add up to more than a limit; where refused calls
+    // use it up, nothing gets through any more, and each of them sees only its few refusals. So what they may
+    // send unasked adds up to less than the limit, and what lies idle of it goes to those that have more: an
+    // answer that tells room allows further calls. It may hurt a sender with a clump, for a few seconds.
+    void share(Owner& own, const Outcome& o) {
+        if (own.down) return;
+        if (o.result == Result::full) {
+            own.credit = std::min(own.credit, 0.0);
+            if (t_ < own.cutAt + kCutPause) return;
+            own.parts = std::max(kLeastPart, kEase * parts(own));
+            own.cutAt = own.partsAt = t_;
+        } else if (o.result == Result::delivered && t_ > own.coldAt + seconds(set_.warmUp)) {
+            const bool limited = o.allowedRate && *o.allowedRate > 0 && o.allowanceLeft;
+            const double left = limited ? *o.allowanceLeft : kUntoldRoom;
+            own.credit = std::min(1.0, own.credit + kRoom * left);
+            own.parts = std::min(kMostParts, parts(own) + kMore * left);
+            own.partsAt = t_;
+        } else if (o.result == Result::connectFailed) {
+            own.credit = std::min(1.0, own.credit + 1);  // what never connected weighs nothing
+        }
+    }
+    double parts(const Owner& own) const {
+        return 1 + (own.parts - 1) * std::exp(-(t_ - own.partsAt) / kPartFades);
+    }
+
     // This sender's part of what the destination can take, in calls a second.
     double fair(const Owner& own) const {
         return std::max(own.told > 0 ? own.told / set_.senders : own.best1s, kFairFloor / set_.senders);
@@ -589,9 +625,8 @@
         if (own.down || own.silent >= kSilentCalls) return kTrickle * budget * part;
         const double warm = seconds(set_.warmUp);
         if (t_ < own.coldAt + warm)
-            // Met seldom, the few senders that have seen it answer may go faster: the others still trickle.
-            return kRamp * (sparse(own) ? kSparse : part) *
-                   (set_.coldFrom + (1 - set_.coldFrom) * (t_ - own.coldAt) / warm);
+            return kRamp * part * (set_.coldFrom + (1 - set_.coldFrom) * (t_ - own.coldAt) / warm);
+        if (sparse(own) && own.told > 0) return kEqual * fair(own) * parts(own);
         // Danger: one of very many senders meets a destination seldom; its equal part of the limit is less
         // than chance brings it, and a pace at that part holds nearly all. There only refusals slow it down,
         // for as long as they are fresh. It may hurt where all senders burst together.
@@ -810,8 +845,7 @@
         const int routes = target.apart ? static_cast<int>(m.place->targets.size()) : 1;
         if (credit(own, routes) < 1)
             return lookAt(t_ + std::min((1 - own.credit) / pace(own, routes), kSoon) + kGuard);
-        if (own.calls >= std::max(1, static_cast<int>(cap)) || m.place->calls >= windowMost())
-            return false;
+        if (own.calls >= std::max(1, static_cast<int>(cap)) || m.place->calls >= windowMost()) return false;
         starved_ = starved_ || slotsUsed_ >= set_.slots;
         return slotsUsed_ < set_.slots;
     }
@@ -960,10 +994,10 @@
     std::vector<Owner*> hushed_;  // owners with silent calls
     double failed_[2] = {0, 0};  // smoothed shares of calls without an answer, on new and on kept connections
     Sec droppedUntil_ = 0;
-    std::map<int, Sec> scarceUntil_;  // by kind: its endpoints take few connections
+    std::map<int, Sec> scarceUntil_;        // by kind: its endpoints take few connections
     std::map<EndpointId, Endpoint> later_;  // ids that stand for another destination once their calls end
-    std::vector<EndpointId> idle_;  // endpoints whose last call ended in this turn
-    std::uint64_t lists_ = 0;     // whole lists heard
+    std::vector<EndpointId> idle_;          // endpoints whose last call ended in this turn
+    std::uint64_t lists_ = 0;               // whole lists heard
     std::vector<Action> actions_;
 };
 
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -88,7 +88,9 @@
                 const Result result = deliver(*call);
                 log::debug() << "call " << call->id << " #" << call->attempt << " to " << call->endpoint
                              << " of " << call->destination << " ended " << static_cast<int>(result.ending)
-                             << " wait " << result.wait.count() / 1000000;
+                             << " wait " << result.wait.count() / 1000000 << " left "
+                             << result.allowanceLeft.value_or(-1) << " limit "
+                             << result.allowedRate.value_or(-1);
                 decisions_.report(*call, result);
             }
         });
--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -67,6 +67,25 @@
     EXPECT_NE(a.events, model::play(f, l, 4).events);
 }
 
+// What is harmless in one sender and harmful in all: three hundred that meet each partner now and then, at a
+// limit that refused calls use up. Each that tries a little more than its part sums up to no call let
+// through.
+TEST(Fleet, StaysUnderALimitThatRefusedCallsUseUp) {
+    auto f = fleet(4, 60, 60);
+    for (auto& p : f.partners) p.does.refusedCount = true;
+    f.senders.count = 300;
+    f.senders.slots = 4;
+    f.senders.held = 40;
+    f.service.giveUp = f.service.deadline = 12s;
+    for (const double share : {0.7, 1.2}) {
+        const auto day = model::play(f, load(f, share, 30s, 7, 0.1), 7);
+        const double most = std::min(1.0, share) * 4 * 60 * 30;
+        EXPECT_GT(static_cast<double>(day.delivered), 0.6 * most) << share;
+        EXPECT_LT(static_cast<double>(day.refusedCalls), 0.45 * static_cast<double>(day.calls)) << share;
+        EXPECT_TRUE(day.rules.kept());
+    }
+}
+
 TEST(Model, ACalmDayDeliversAll) {
     const auto f = fleet(8, 8);
     const auto day = model::play(f, load(f, 0.4, 30s, 5), 5);
