Name the pace's two conditions once, and drop what the change left dead

Need: read once more, the change of the pace had written two conditions twice and left two pieces without use.

Change: inParts() says where share() paces, for observe() and pace(); tellsRoom() says that an answer tells a limit and what is left of it, for share() and for health(), which had the same words; adapt() no longer asks what its caller has settled; in the tests triesOfTwenty() loses a parameter that nothing set any more, and the test of kept connections calls seenDown(). One comment mended. Nothing is decided differently, and no assertion changed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -71,7 +71,7 @@
 constexpr double kSparse = 1;       // calls a second: a smaller part is too little to be paced by
 // One of very many senders at a told limit.
 constexpr double kEqual = 0.9;       // of the limit that the senders' equal parts add up to
-constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the left of the limit
+constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the share left
 constexpr double kUntoldRoom = 0.6;  // taken for that share where a delivery tells none
 constexpr double kMore = 0.15;       // of the equal part that a delivery adds, times the same
 constexpr double kMostParts = 5;     // equal parts that one sender comes to at most
@@ -480,7 +480,7 @@
             scarceUntil_[target.kind] = t_ + kScarce;
         if (!good && o.result != Result::full) ++target.streak;
         health(own, target, o);
-        if (sparse(own) && own.told > 0) share(own, o);
+        if (inParts(own)) share(own, o);
         else adapt(own, o.result);
         shun(target, o.result);
         if (o.result == Result::full) {
@@ -522,7 +522,7 @@
         // Danger: at a limit reached, refusals on end look like a shut destination, and the other way round.
         // Where the refusal itself tells them apart (the wait, or how much of the limit is left), that
         // decides.
-        const bool told = o.allowedRate && *o.allowedRate > 0 && o.allowanceLeft;
+        const bool told = tellsRoom(o);
         const bool closed =
             result == Result::full &&
             (o.wait > Duration{} ? seconds(o.wait) > kFullSpan : told && *o.allowanceLeft > kAmple);
@@ -559,7 +559,7 @@
     // idle, until the pace has grown.
     void adapt(Owner& own, Result result) {
         if (own.down) return;
-        if (own.rate == kNever && own.told > 0 && !sparse(own)) own.rate = own.told / set_.senders;
+        if (own.rate == kNever && own.told > 0) own.rate = own.told / set_.senders;
         if (result == Result::full) {
             own.credit = std::min(own.credit, 0.0);  // what was saved up would be refused as well
             if (t_ < own.cutAt + kCutPause) return;
@@ -598,8 +598,7 @@
             own.parts = std::max(kLeastPart, kEase * parts(own));
             own.cutAt = own.partsAt = t_;
         } else if (o.result == Result::delivered && t_ > own.coldAt + seconds(set_.warmUp)) {
-            const bool limited = o.allowedRate && *o.allowedRate > 0 && o.allowanceLeft;
-            const double left = limited ? *o.allowanceLeft : kUntoldRoom;
+            const double left = tellsRoom(o) ? *o.allowanceLeft : kUntoldRoom;
             own.credit = std::min(1.0, own.credit + kRoom * left);
             own.parts = std::min(kMostParts, parts(own) + kMore * left);
             own.partsAt = t_;
@@ -626,7 +625,7 @@
         const double warm = seconds(set_.warmUp);
         if (t_ < own.coldAt + warm)
             return kRamp * part * (set_.coldFrom + (1 - set_.coldFrom) * (t_ - own.coldAt) / warm);
-        if (sparse(own) && own.told > 0) return kEqual * fair(own) * parts(own);
+        if (inParts(own)) return kEqual * fair(own) * parts(own);
         // Danger: one of very many senders meets a destination seldom; its equal part of the limit is less
         // than chance brings it, and a pace at that part holds nearly all. There only refusals slow it down,
         // for as long as they are fresh. It may hurt where all senders burst together.
@@ -634,6 +633,9 @@
         return own.rate;
     }
     bool sparse(const Owner& own) const { return set_.senders > kFewSenders && fair(own) < kSparse; }
+    // Paced by share(), not by adapt().
+    bool inParts(const Owner& own) const { return sparse(own) && own.told > 0; }
+    static bool tellsRoom(const Outcome& o) { return o.allowedRate && *o.allowedRate > 0 && o.allowanceLeft; }
 
     double credit(Owner& own, int routes) {
         if (pace(own, routes) == kNever) return own.creditAt = t_, own.credit = 1;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -524,7 +524,7 @@
 }
 
 /// Tries of twenty such senders within 8 s, each with one message for a destination that always answers so.
-int triesOfTwenty(Result result, Duration wait, int endpoints, std::optional<double> left, int kind = 0) {
+int triesOfTwenty(Result result, Duration wait, int endpoints, int kind = 0) {
     int tries = 0;
     for (int seed = 1; seed <= 20; ++seed) {
         Rig rig(oneOfMany(), 1);
@@ -534,9 +534,7 @@
         std::size_t handled = 0;
         for (int i = 0; i < 80; ++i) {
             for (; handled < rig.sent.size(); ++handled) {
-                auto o = rig.result("a", result, wait, rig.sent[handled].endpoint);
-                if (left) o.allowanceLeft = left, o.allowedRate = 6;
-                rig.turn({o});
+                rig.turn({rig.result("a", result, wait, rig.sent[handled].endpoint)});
             }
             rig.run(milliseconds(100));
         }
@@ -546,14 +544,14 @@
 }
 
 TEST(Many, OneFailureIsAnOutageWhereADestinationIsMetSeldom) {
-    EXPECT_LE(triesOfTwenty(Result::connectFailed, {}, 1, {}), 40);
+    EXPECT_LE(triesOfTwenty(Result::connectFailed, {}, 1), 40);
 }
 
 TEST(Many, RefusalsThatTellNothingOrHungQueuesBecomeAnOutage) {
-    EXPECT_LE(triesOfTwenty(Result::full, {}, 1, {}), 70);
-    EXPECT_LE(triesOfTwenty(Result::full, milliseconds(360), 1, {}), 70);
+    EXPECT_LE(triesOfTwenty(Result::full, {}, 1), 70);
+    EXPECT_LE(triesOfTwenty(Result::full, milliseconds(360), 1), 70);
     // Routes apart: what one refuses speaks of its fellows.
-    EXPECT_LE(triesOfTwenty(Result::full, {}, 3, {}, 1), 90);
+    EXPECT_LE(triesOfTwenty(Result::full, {}, 3, 1), 90);
 }
 
 bool seenDown(const Rig& rig) {
@@ -907,8 +905,7 @@
             result.stale = stale;
             rig.turn({result, ClientGone{id}});
         }
-        const auto standings = rig.sender.standings();
-        return std::any_of(standings.begin(), standings.end(), [](const auto& s) { return s.down; });
+        return seenDown(rig);
     };
     EXPECT_FALSE(downAfter(true));
     EXPECT_TRUE(downAfter(false));
