Spread a fleet's calls for the list over time, and back off after refusals

Cause: Registry::run and nextPause: 50 ms after a lost stream, then once a second at most, whatever the number of senders. Calls that waited 2 s in vain were work for discovery all the same, so 100 senders kept it from answering any of them.

Change: pauseBefore() draws each pause by full jitter from a span in which the whole fleet asks once at fleet-rate (20/s; a new key in the settings), doubled with each failure, 8 such spans or 40 s at the most after refusals. The first call after a loss goes out within 5 s, as news counts as told after 6. With two senders the pauses stay as short as they were. A new address is asked within half of that.

Test: tests/registry, 1 to 300 senders against a discovery with room for 17 calls a second; senders that know of no fleet (the pauses as they were) starve there.

--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -15,6 +15,9 @@
 
 constexpr milliseconds kConnect{1000};
 constexpr milliseconds kSilence{3500};  // an empty line comes every 2 s; news counts as told 6 s late at most
+constexpr milliseconds kUntold{5000};   // so the first call goes out within this, in a fleet of any size
+constexpr milliseconds kLongest{40000};  // and this is the longest span after refusals,
+constexpr int kMostRounds = 8;           // or so many of the whole fleet
 
 void logNews(const listing::Listing& list) {
     (log::info() << "registry: " << (list.whole ? "whole list" : "changes"))
@@ -24,12 +27,17 @@
 
 }  // namespace
 
-milliseconds nextPause(const Options& options, milliseconds before, double chance) {
-    const auto least = static_cast<double>(options.pauseLeast.count());
-    const auto most = 3 * static_cast<double>(std::max(before, options.pauseLeast).count());
-    const auto drawn = static_cast<std::int64_t>(least + chance * (most - least));
-    return std::clamp(milliseconds(drawn), options.pauseLeast,
-                      std::max(options.pauseLeast, options.pauseMost));
+milliseconds pauseBefore(const Options& options, int failures, bool refused, double chance) {
+    const milliseconds round(static_cast<std::int64_t>(1000 * options.senders / options.fleetRate));
+    // Danger: a discovery with more calls than it can answer answers none in time, and calls that it refuses
+    // keep it so. Many senders that each ask once a second shut each other out for good, and none hears of a
+    // drain. Only fewer calls let it recover. It may hurt where it is back early, for a part of the span.
+    const auto most = std::max(options.pauseMost,
+                               refused ? std::min(kMostRounds * round, kLongest) : std::min(round, kUntold));
+    auto span = std::max(options.pauseLeast, failures > 0 ? round : std::min(round, kUntold));
+    for (int i = 0; i < failures && span < most; ++i) span *= 2;
+    span = std::min(span, most);
+    return options.pauseLeast + milliseconds(static_cast<std::int64_t>(chance * span.count()));
 }
 
 void Lines::feed(std::string_view bytes, const std::function<void(const listing::Listing&)>& news,
@@ -74,23 +82,35 @@
     thread_.join();
 }
 
+milliseconds Registry::draw(int failures, bool refused) {
+    return pauseBefore(options_, failures, refused, std::uniform_real_distribution<double>(0, 1)(chance_));
+}
+
+bool Registry::rest(milliseconds pause, const discovery::Place& place) {
+    const std::stop_callback wake(place.left, [this] {
+        const std::lock_guard lock(mutex_);
+        wake_.notify_all();
+    });
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, stop_.get_token(), pause, [&] { return place.left.stop_requested(); });
+    return !stop_.stop_requested();
+}
+
 void Registry::run() {
     const auto stopped = stop_.get_token();
-    auto pause = options_.pauseLeast;
-    while (!stopped.stop_requested()) {
-        const auto place = discovery_.place();
-        const bool heard = follow(place, stopped);
+    int failures = 0;
+    milliseconds pause{};  // at a start it is asked at once: nothing but a probe vouches for the kept list
+    for (auto place = discovery_.place(); rest(pause, place);) {
+        // A new address is asked without regard to what the old one refused: what it tells counts soon.
+        if (place.left.stop_requested()) {
+            place = discovery_.place(), failures = 0;
+            pause = draw(0, false) / 2;
+            continue;
+        }
+        const auto watch = follow(place, stopped);
         roster_.lost();
-        const double chance = std::uniform_real_distribution<double>(0, 1)(chance_);
-        pause = heard ? options_.pauseLeast : nextPause(options_, pause, chance);
-        // A new address is asked at once, and with short pauses again: what it tells counts soon.
-        const std::stop_callback wake(place.left, [this] {
-            const std::lock_guard lock(mutex_);
-            wake_.notify_all();
-        });
-        std::unique_lock lock(mutex_);
-        if (wake_.wait_for(lock, stopped, pause, [&] { return place.left.stop_requested(); }))
-            pause = options_.pauseLeast;
+        failures = watch == Watch::useful ? 0 : failures + 1;
+        pause = draw(failures, watch == Watch::refused);
     }
 }
 
@@ -132,21 +152,21 @@
     return merged;
 }
 
-bool Registry::follow(const discovery::Place& place, std::stop_token stopped) {
+Watch Registry::follow(const discovery::Place& place, std::stop_token stopped) {
     net::Fd fd = net::tcpSocket();
-    if (!fd) return false;
+    if (!fd) return Watch::failed;
     const int raw = fd.get();
     const auto shut = [raw] { net::shut(raw); };
     const std::stop_callback whenStopped(stopped, shut), whenLeft(place.left, shut);
-    if (!net::connectBy(raw, place.address, net::Steady::now() + kConnect)) return false;
+    if (!net::connectBy(raw, place.address, net::Steady::now() + kConnect)) return Watch::failed;
     const auto target = "/registry/instances?watch=1&after=" + std::to_string(roster_.index());
     const auto ask = http::request("GET", target, place.address.text, {}, {});
-    if (net::sendAll(raw, ask, net::Steady::now() + kConnect) != net::Io::done) return false;
+    if (net::sendAll(raw, ask, net::Steady::now() + kConnect) != net::Io::done) return Watch::failed;
     http::Limits limits;
     limits.body = options_.longestLine;
     http::Parser parser(http::Parser::Role::response, limits);
     Lines lines(options_.longestLine);
-    bool heard = false;
+    bool heard = false, refused = false;
     std::atomic<bool> verified{false};  // its numbering is ours
     std::atomic<bool> asking{false};
     std::stop_source over;
@@ -181,6 +201,7 @@
             if (state == http::Parser::State::bad) log::error() << "registry: the answer can't be read";
             else log::warning() << "registry: answered " << message.status;
             heard = false;
+            refused = state != http::Parser::State::bad;
             break;
         }
         if (message.status == 200) {
@@ -197,7 +218,8 @@
     }
     over.request_stop();
     asker.join();
-    return heard && verified;  // one that answers nothing of use is not asked all the time
+    if (refused) return Watch::refused;
+    return heard && verified ? Watch::useful : Watch::failed;
 }
 
 }  // namespace laurelhaven::registry
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -41,15 +41,26 @@
 };
 
 struct Options {
-    std::size_t longestLine = 1000000;           ///< bytes of one line of the stream, or of a whole list
-    std::chrono::milliseconds pauseLeast{50};    ///< before the address is tried again
-    std::chrono::milliseconds pauseMost{1'000};  ///< and at most
+    std::size_t longestLine = 1000000;         ///< bytes of one line of the stream, or of a whole list
+    std::chrono::milliseconds pauseLeast{50};  ///< before the address is tried again
+    std::chrono::milliseconds pauseMost{
+        1'000};             ///< and at most, where the fleet is small or discovery silent
+    double fleetRate = 20;  ///< times a second that all senders together ask, about
+    int senders = 1;        ///< that ask the same discovery; the platform tells
 };
 
-/// The next pause before a reconnect, between the least and three times the one before, by chance: so senders
-/// that lost discovery together come back apart. (Decorrelated jitter: M. Brooker, "Exponential Backoff And
-/// Jitter", AWS Architecture Blog, 2015.) `chance` lies in [0, 1).
-std::chrono::milliseconds nextPause(const Options& options, std::chrono::milliseconds before, double chance);
+/// What became of one watch.
+enum class Watch {
+    useful,   ///< a line came that counts as we do
+    refused,  ///< discovery answered that it won't
+    failed    ///< it could not be reached, was silent, or said nothing of use
+};
+
+/// How long to wait before discovery is asked, after so many failures on end, the last of them a refusal or
+/// not: some part of a span, by `chance` in [0, 1) (full jitter: M. Brooker, "Exponential Backoff And
+/// Jitter", AWS Architecture Blog, 2015). Without failures the span is one in which all senders ask once at
+/// `fleetRate`, since they mostly lose discovery in the same moment. It doubles with each failure.
+std::chrono::milliseconds pauseBefore(const Options& options, int failures, bool refused, double chance);
 
 class Registry {
   public:
@@ -62,8 +73,11 @@
 
   private:
     void run();
-    /// One connection, until it ends. True where a line came over it.
-    bool follow(const discovery::Place& place, std::stop_token stopped);
+    /// False once stopped. True at the pause's end, or once discovery is elsewhere.
+    bool rest(std::chrono::milliseconds pause, const discovery::Place& place);
+    std::chrono::milliseconds draw(int failures, bool refused);
+    /// One connection, until it ends.
+    Watch follow(const discovery::Place& place, std::stop_token stopped);
     /// Asks for the whole list, on a connection of its own. What became of it; nothing where none came.
     std::optional<membership::Heard::Kind> fetch(const discovery::Place& place, std::stop_token stopped);
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -40,6 +40,7 @@
     discovery.take("longest-line", s.registry.longestLine, yaml::size)
         .take("pause-least", s.registry.pauseLeast, yaml::time)
         .take("pause-most", s.registry.pauseMost, yaml::time)
+        .take("fleet-rate", s.registry.fleetRate, yaml::rate)
         .take("shrink-share", members.shrinkShare, yaml::share)
         .plain("shrink-least", members.shrinkLeast)
         .take("shrink-hold", members.shrinkHold, yaml::time);
@@ -74,6 +75,7 @@
     most(s.registry.pauseLeast < milliseconds(10), discovery, "pause-least",
          "is under 10 ms: that is polling");
     most(s.registry.pauseLeast > s.registry.pauseMost, discovery, "pause-least", "is more than pause-most");
+    most(s.registry.fleetRate < 0.1, discovery, "fleet-rate", "is under 0.1/s: news would come too late");
     most(members.shrinkShare > 1, discovery, "shrink-share", "is over 100%");
     most(s.registry.longestLine < 65536, discovery, "longest-line", "is under 64 KB");
     most(s.roster.probes.coldShare > 0.25, probes, "cold-share",
@@ -99,6 +101,7 @@
     const auto& platform = config.settings;
     s.roster.membership.trust.mayProbe = config.mayProbe && s.roster.probe;
     s.roster.probes.senders = platform.senders;
+    s.registry.senders = platform.senders;
     s.roster.probes.coldBudget =
         platform.fallMultiple > 0 ? std::min(1.0, platform.fallMultiple * platform.coldFrom) : 1.0;
 }
--- /dev/null
+++ b/tests/registry/registry_test.cpp
@@ -0,0 +1,138 @@
+// The watch's pauses: one sender's, and what those of a whole fleet add up to at a discovery that can answer
+// only so many calls. In virtual time, from fixed seeds.
+#include "registry/registry.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <queue>
+#include <random>
+
+namespace laurelhaven::registry {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+Options options(int senders) {
+    Options o;
+    o.senders = senders;
+    return o;
+}
+
+/// A discovery that works off one call after another, and refuses what waits too long or finds no room. A
+/// call that waited in vain has taken its time all the same.
+class Overbooked {
+  public:
+    static constexpr milliseconds kTakes{58}, kPatience{2000};
+    static constexpr std::size_t kRoom = 60;
+
+    struct Answer {
+        milliseconds at;
+        bool refused;
+    };
+    Answer ask(milliseconds now) {
+        std::erase_if(waiting_, [&](milliseconds done) { return done <= now; });
+        if (waiting_.size() >= kRoom) {
+            free_ = std::max(free_, now) + kTakes / 2;  // to refuse is work, too
+            return {now, true};
+        }
+        free_ = std::max(free_, now) + kTakes;
+        waiting_.push_back(free_);
+        if (free_ > now + kPatience) return {now + kPatience, true};
+        return {free_, false};
+    }
+
+  private:
+    milliseconds free_{};
+    std::deque<milliseconds> waiting_;
+};
+
+struct Outcome {
+    int calls = 0, refused = 0, heard = 0;
+    milliseconds last{};  ///< when the last of them heard
+    int busiest = 0;      ///< calls in any one second
+};
+
+/// All of `senders` lose their streams at 0; each believes in a fleet as `told` has it.
+Outcome loseAll(int senders, const Options& told, milliseconds until) {
+    struct Due {
+        milliseconds at;
+        int sender, failures;
+        bool operator<(const Due& other) const { return at > other.at; }
+    };
+    std::mt19937_64 chance(7);
+    const auto draw = [&](int failures) {
+        return pauseBefore(told, failures, failures > 0,
+                           std::uniform_real_distribution<double>(0, 1)(chance));
+    };
+    std::priority_queue<Due> queue;
+    for (int s = 0; s < senders; ++s) queue.push({draw(0), s, 0});
+    Overbooked discovery;
+    Outcome outcome;
+    std::deque<milliseconds> recent;
+    for (; !queue.empty() && queue.top().at <= until;) {
+        const auto due = queue.top();
+        queue.pop();
+        ++outcome.calls;
+        recent.push_back(due.at);
+        while (recent.front() <= due.at - 1s) recent.pop_front();
+        outcome.busiest = std::max(outcome.busiest, static_cast<int>(recent.size()));
+        const auto answer = discovery.ask(due.at);
+        if (!answer.refused) {
+            ++outcome.heard;
+            outcome.last = std::max(outcome.last, answer.at);
+            continue;
+        }
+        ++outcome.refused;
+        queue.push({answer.at + draw(due.failures + 1), due.sender, due.failures + 1});
+    }
+    return outcome;
+}
+
+// Danger: hundreds of senders whose streams break in one moment, each calling again within 50 ms and once a
+// second after, kept discovery from answering any of them for the rest of the day.
+TEST(RegistryFleet, AFleetThatLostDiscoveryAtOnceIsAnswered) {
+    for (const int senders : {1, 2, 8, 30, 100}) {
+        const auto seen = loseAll(senders, options(senders), 30s);
+        EXPECT_EQ(seen.heard, senders);
+        EXPECT_LE(seen.last, senders <= 8 ? 1500ms : 9000ms) << senders;
+        EXPECT_LE(seen.calls, senders + senders / 2) << senders;
+        EXPECT_LE(seen.busiest, senders <= 8 ? senders : 40) << senders;
+    }
+}
+
+TEST(RegistryFleet, AFleetThatAsksForMoreThanIsThereBacksOffUntilAllAreAnswered) {
+    const auto seen = loseAll(300, options(300), 120s);
+    EXPECT_EQ(seen.heard, 300);
+    EXPECT_LE(seen.calls, 1200);
+}
+
+// The stand-in can fail a fleet: senders that each take themselves for the only one starve each other.
+TEST(RegistryFleet, SendersThatKnowOfNoFleetShutEachOtherOut) {
+    const auto seen = loseAll(100, options(1), 30s);
+    EXPECT_LT(seen.heard, 50);
+    EXPECT_GT(seen.refused, 1000);
+}
+
+TEST(RegistryPause, TheFirstCallGoesOutBeforeNewsCountsAsTold) {
+    for (const int senders : {1, 100, 300, 100000})
+        EXPECT_LT(pauseBefore(options(senders), 0, false, 0.999999), 6s - 500ms) << senders;
+}
+
+TEST(RegistryPause, GrowsWithRefusalsAndIsBounded) {
+    const auto most = [](int senders, int failures, bool refused) {
+        return pauseBefore(options(senders), failures, refused, 0.999999);
+    };
+    EXPECT_GT(most(100, 2, true), 1.9 * most(100, 1, true));
+    EXPECT_LE(most(100, 60, true), 41s);
+    EXPECT_LE(most(100000, 60, true), 41s);
+    // A few senders, or a discovery that is merely away: asked again soon.
+    EXPECT_LE(most(2, 60, true), 1100ms);
+    EXPECT_LE(most(2, 60, false), 1100ms);
+    EXPECT_LE(most(300, 60, false), 5100ms);
+    EXPECT_GE(pauseBefore(options(2), 60, false, 0), 50ms);
+}
+
+}  // namespace
+}  // namespace laurelhaven::registry
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -63,6 +63,7 @@
     EXPECT_EQ(read.capture.flushEvery, plain.capture.flushEvery);
     EXPECT_EQ(read.registry.longestLine, 1000000u);
     EXPECT_EQ(read.registry.pauseMost, plain.registry.pauseMost);
+    EXPECT_EQ(read.registry.fleetRate, plain.registry.fleetRate);
 }
 
 TEST(Settings, ValuesAreReadWithTheirUnits) {
@@ -104,6 +105,7 @@
         {"kept-list:\n  disk-share: 60%\n", "f.yaml:2:", "disk-share", "journal"},
         {"trust:\n  stale-below: 95%\n", "f.yaml:2:", "stale-below", "confirmed-above"},
         {"discovery:\n  pause-least: 1 ms\n", "f.yaml:2:", "pause-least", "polling"},
+        {"discovery:\n  fleet-rate: 0/s\n", "f.yaml:2:", "fleet-rate", "too late"},
         {"probes:\n  cold-share: 50%\n", "f.yaml:2:", "cold-share", "cold partner"},
     };
     for (const auto& c : cases) {
