--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -85,12 +85,15 @@
     for (std::size_t i = 0; i < config::shares(config_).calls; ++i)
         threads_.emplace_back("call", [this] {
             while (const auto call = decisions_.pick()) {
+                const auto begun = net::Steady::now();
                 const Result result = deliver(*call);
+                const auto took =
+                    std::chrono::duration_cast<milliseconds>(net::Steady::now() - begun).count();
                 log::debug() << "call " << call->id << " #" << call->attempt << " to " << call->endpoint
                              << " of " << call->destination << " ended " << static_cast<int>(result.ending)
                              << " wait " << result.wait.count() / 1000000 << " left "
                              << result.allowanceLeft.value_or(-1) << " limit "
-                             << result.allowedRate.value_or(-1);
+                             << result.allowedRate.value_or(-1) << " took " << took;
                 decisions_.report(*call, result);
             }
         });
