--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -104,6 +104,8 @@
 Verdict Decisions::report(const HandIn& message) {
     const std::lock_guard lock(mutex_);
     const auto verdict = decide(message);
+    log::debug() << "handed " << message.id << " for " << message.destination << " verdict "
+                 << static_cast<int>(verdict.kind) << " after " << verdict.after.count();
     if (hooks_.arrived) hooks_.arrived(message, verdict);
     return verdict;
 }
@@ -439,6 +441,8 @@
 }
 
 void Decisions::conclude(const std::string& id, const store::Owed& notice) {
+    log::debug() << "returned " << id << " state " << static_cast<int>(notice.end) << " after "
+                 << notice.afterMs;
     const auto it = held_.find(id);
     if (it == held_.end() || it->second.over) return;
     store_.ended(notice);
