Set senders that a limit refused together apart, by chance in their pace

Cause: share() in src/brain.cpp set the credit of a refused sender to 0 at most. It was 0 in all of them, since each had just sent; and at equal parts of 0.2 calls a second all come to a whole call in the same half second. Refused calls use the limit up, so most were refused, and stood at 0 together once more.

Change: credit is drawn between -1/2 and 1/2 of a call, with the mean that it had.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -593,7 +593,9 @@
     void share(Owner& own, const Outcome& o) {
         if (own.down) return;
         if (o.result == Result::full) {
-            own.credit = std::min(own.credit, 0.0);
+            // Danger: senders that are refused together would all have their next call due at one moment,
+            // and be refused together again. Each goes on from its own place in the span between two calls.
+            own.credit = random() - 0.5;
             if (t_ < own.cutAt + kCutPause) return;
             own.parts = std::max(kLeastPart, kEase * parts(own));
             own.cutAt = own.partsAt = t_;
--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -86,6 +86,37 @@
     }
 }
 
+// Danger: senders that a clump filled up together were all refused together, had all saved up their next call
+// at the same moment, and so were refused together again, every few seconds for the rest of the day.
+TEST(Fleet, SendersRefusedTogetherDoNotComeBackTogether) {
+    const struct {
+        int senders;
+        double refusedMost, deliveredLeast;  // of what is handed in
+    } fleets[] = {{30, 0.27, 0.97}, {100, 0.27, 0.97}, {300, 0.6, 0.7}};
+    for (const auto& [senders, refusedMost, deliveredLeast] : fleets) {
+        auto f = fleet(1, 45, 36);
+        f.partners[0].does.refusedCount = true;
+        f.partners[0].does.tellsWaits = false;
+        f.senders.count = senders;
+        f.senders.slots = 4;
+        f.senders.held = 40;
+        f.service.giveUp = f.service.deadline = 12s;
+        double refused = 0, delivered = 0, handed = 0;
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            std::vector<model::Handing> all;
+            for (int i = 0; i < 160; ++i) all.push_back({1s + i * 2ms, 0, 0, 1});
+            for (int i = 0; i < 250; ++i) all.push_back({1500ms + i * 40ms, 0, 0, 0});
+            const auto day = model::play(f, all, seed);
+            refused += static_cast<double>(day.refusedCalls);
+            delivered += static_cast<double>(day.delivered);
+            handed += static_cast<double>(day.messages);
+            EXPECT_TRUE(day.rules.kept()) << senders;
+        }
+        EXPECT_LT(refused, refusedMost * handed) << senders;
+        EXPECT_GT(delivered, deliveredLeast * handed) << senders;
+    }
+}
+
 TEST(Model, ACalmDayDeliversAll) {
     const auto f = fleet(8, 8);
     const auto day = model::play(f, load(f, 0.4, 30s, 5), 5);
