Let a restarted fleet's first messages ask where its probes would use limits up

Cause: trust::judge() wants a probe of every endpoint before its first message of a life, however young the list, and Probes spreads those over 400 ms in every sender alike. A probe weighs like a call; where refused calls use the limit up, the fleet's own probes keep it shut.

Change: endpoints whose listed destination could not take a probe from half of the fleet within the span over which they probe (senders / 2 > rate x 400 ms) are asked by the first message instead; it is turned away as the probe would be, and its destination stays in doubt as before. Stale entries, destinations without a told rate and small fleets are probed as ever. With a young kept list the first call for the list takes its turn, too.

Test: Trust.AFleetWhoseProbesWouldNotFitIsAskedByItsFirstMessages.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -354,6 +354,7 @@
     e.against = entry.against;
     e.offered = entry.answered;
     e.thisLife = entry.seenLive;
+    e.rate = entry.is.weight;
     return e;
 }
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -99,7 +99,8 @@
 void Registry::run() {
     const auto stopped = stop_.get_token();
     int failures = 0;
-    milliseconds pause{};  // at a start it is asked at once: nothing but a probe vouches for the kept list
+    // With a young list the first call can wait its turn: those that start together must not ask together.
+    auto pause = roster_.young() ? draw(0, false) : milliseconds{};
     for (auto place = discovery_.place(); rest(pause, place);) {
         // A new address is asked without regard to what the old one refused: what it tells counts soon.
         if (place.left.stop_requested()) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -100,6 +100,8 @@
 void fit(Settings& s, const config::Config& config) {
     const auto& platform = config.settings;
     s.roster.membership.trust.mayProbe = config.mayProbe && s.roster.probe;
+    s.roster.membership.trust.senders = platform.senders;
+    s.roster.membership.trust.probeSpan = s.roster.probes.jitter;
     s.roster.probes.senders = platform.senders;
     s.registry.senders = platform.senders;
     s.roster.probes.coldBudget =
--- a/src/trust/trust.cpp
+++ b/src/trust/trust.cpp
@@ -102,8 +102,12 @@
     }
     // Danger: an endpoint drains in the seconds for which the sender is dead and discovery silent, and the
     // list is as young as can be. Where a probe may tell, it is asked first.
+    // Danger: a release kills half of a fleet in one moment, a probe weighs like a call, and where each asks
+    // for each endpoint the limits are used up by that alone. Where the probes would not fit, the first
+    // message asks in their place: it is turned away as they would be.
+    const bool fit = evidence.rate <= 0 || policy.senders / 2 <= evidence.rate * secondsOf(policy.probeSpan);
     made.probeFirst =
-        made.level == Level::stale || (policy.mayProbe && !evidence.thisLife && !evidence.offered);
+        made.level == Level::stale || (policy.mayProbe && fit && !evidence.thisLife && !evidence.offered);
     return made;
 }
 
--- a/src/trust/trust.hpp
+++ b/src/trust/trust.hpp
@@ -35,6 +35,8 @@
     milliseconds blindLimit{3'600'000};         ///< without probes, older entries get nothing
     milliseconds configuredAge{600'000};        ///< taken as the age of a list in the configuration
     bool mayProbe = false;                      ///< the platform permits probes
+    int senders = 1;                            ///< that hold such a list
+    milliseconds probeSpan{400};                ///< within which those that restart together probe
 };
 
 struct Evidence {
@@ -44,6 +46,7 @@
     bool live = false;      ///< discovery is heard now, and names it
     bool offered = false;   ///< it has delivered or answered a probe in this life
     bool thisLife = false;  ///< discovery has named it in this life
+    double rate = 0;        ///< told calls a second of its destination; 0: not known
 };
 
 struct Judgement {
--- a/tests/trust/trust_test.cpp
+++ b/tests/trust/trust_test.cpp
@@ -137,6 +137,27 @@
     EXPECT_FALSE(judge(e, probing(), kHalf, kNow).probeFirst);
 }
 
+// Danger: a release killed 70 of 100 senders at once, and each probed each endpoint in its first half second:
+// 666 probes in one second, at partners that take 26 to 120 calls. The limits were used up by that alone.
+TEST(Trust, AFleetWhoseProbesWouldNotFitIsAskedByItsFirstMessages) {
+    const auto probed = [](int senders, double rate, milliseconds age) {
+        auto policy = probing();
+        policy.senders = senders;
+        auto e = seen(age);
+        e.rate = rate;
+        return judge(e, policy, kHalf, kNow).probeFirst;
+    };
+    for (const double rate : {2.5, 33.0, 120.0}) EXPECT_TRUE(probed(2, rate, 1s)) << rate;
+    // Half of the fleet asks within 400 ms; what the partner takes in that time is the most there may be.
+    EXPECT_TRUE(probed(24, 31, 1s));
+    EXPECT_FALSE(probed(26, 31, 1s));
+    EXPECT_FALSE(probed(100, 33, 1s));
+    EXPECT_FALSE(probed(300, 120, 1s));
+    EXPECT_TRUE(probed(300, 1000, 1s));
+    EXPECT_TRUE(probed(300, 0, 1s));          // nothing is told: as ever
+    EXPECT_TRUE(probed(300, 33, 8 * kHalf));  // what is likely wrong is probed in any fleet
+}
+
 // ---- probes ----
 
 const Moment kStart = Moment(std::chrono::hours(100));
