Let deliveries of a destination that warms up allow a part of a further call

Cause: share() in src/brain.cpp passes idle room on only once a warm-up is over; until then each sender has its equal part, and those of senders that hold nothing for the destination lie idle.

Change: a delivery in a warm-up allows 0.25 of a call besides: at most a third more in all, so that with kRamp 1.25 even a fleet of senders that all hold plenty stays at 1.67 times what the destination can do, under the fall multiple of 2.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,6 +72,7 @@
 // One of very many senders at a told limit.
 constexpr double kEqual = 0.9;       // of the limit that the senders' equal parts add up to
 constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the share left
+constexpr double kColdRoom = 0.25;   // the same while it warms up, whatever share is left
 constexpr double kUntoldRoom = 0.6;  // taken for that share where a delivery tells none
 constexpr double kMore = 0.15;       // of the equal part that a delivery adds, times the same
 constexpr double kMostParts = 5;     // equal parts that one sender comes to at most
@@ -606,6 +607,11 @@
             own.credit = std::min(1.0, own.credit + kRoom * left);
             own.parts = std::min(kMostParts, parts(own) + kMore * left);
             own.partsAt = t_;
+        } else if (o.result == Result::delivered) {
+            // Danger: equal parts of what a cold destination can do lie idle with those who hold nothing for
+            // it. A delivery there allows a part of a call more: at most a third more in all, so that with
+            // kRamp the sum stays under the fall multiple even where every sender holds plenty.
+            own.credit = std::min(1.0, own.credit + kColdRoom);
         } else if (o.result == Result::connectFailed) {
             own.credit = std::min(1.0, own.credit + 1);  // what never connected weighs nothing
         }
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -523,6 +523,29 @@
     EXPECT_GE(all, 2 * none);
 }
 
+// A warm-up is dealt out in equal parts; who has plenty gets something of what lies idle, and never so much
+// that all together would push the destination over.
+TEST(Many, AWarmUpGivesMoreToThoseThatHaveMore) {
+    auto s = oneOfMany();
+    s.maxHeld = 100;
+    s.warmUp = seconds(14), s.coldFrom = 0.19, s.fallMultiple = 2;
+    Rig rig(s, 1);
+    rig.turn({limitOf(270, 1), Standing{.destination = 1, .sinceCold = seconds(0)}});
+    for (int i = 0; i < 80; ++i) rig.hand("m" + std::to_string(i), 0, seconds(60));
+    std::size_t handled = 0;
+    for (int i = 0; i < 140; ++i) {
+        for (; handled < rig.sent.size(); ++handled) {
+            auto o = rig.result(rig.sent[handled].id, Result::delivered);
+            o.allowanceLeft = 1, o.allowedRate = 270;
+            rig.turn({o});
+        }
+        rig.run(milliseconds(100));
+    }
+    // Its equal part, 1.25 times what the destination can do, is 9 calls in these 14 s, and one at once.
+    EXPECT_GE(rig.sent.size(), 12u);
+    EXPECT_LE(rig.sent.size(), 14u);
+}
+
 /// Tries of twenty such senders within 8 s, each with one message for a destination that always answers so.
 int triesOfTwenty(Result result, Duration wait, int endpoints, int kind = 0) {
     int tries = 0;
