--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -139,6 +139,36 @@
     }
 }
 
+// Seven in ten senders are killed at once with messages in hand and come back together, at limits that
+// refused calls use up: what they owe ends in time, nothing is doubled, and their return does not shut the
+// partners.
+TEST(Fleet, ACommonKillIsBorne) {
+    for (const int senders : {8, 30, 100, 300}) {
+        auto f = fleet(4, 60, 60);
+        for (auto& p : f.partners) p.does.refusedCount = true;
+        f.senders.count = senders;
+        f.senders.slots = senders > 8 ? 4 : 24;
+        f.senders.held = 4800 / senders;
+        f.service.giveUp = f.service.deadline = 12s;
+        for (int i = 0; i < 7 * senders / 10; ++i) {
+            f.troubles.push_back({Kind::kill, 6s, static_cast<std::size_t>(i)});
+            f.troubles.push_back({Kind::start, 7500ms, static_cast<std::size_t>(i)});
+        }
+        std::stable_sort(f.troubles.begin(), f.troubles.end(),
+                         [](const auto& a, const auto& b) { return a.at < b.at; });
+        double delivered = 0, handed = 0, refused = 0;
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            const auto day = model::play(f, load(f, 0.95, 20s, seed, 0.3), seed);
+            EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
+            delivered += static_cast<double>(day.delivered);
+            handed += static_cast<double>(day.messages);
+            refused += static_cast<double>(day.refusedCalls);
+        }
+        EXPECT_GT(delivered, 0.85 * handed) << senders;
+        EXPECT_LT(refused, 0.2 * handed) << senders;
+    }
+}
+
 TEST(Model, ACalmDayDeliversAll) {
     const auto f = fleet(8, 8);
     const auto day = model::play(f, load(f, 0.4, 30s, 5), 5);
