Let the serve test wait for discovery's word before it hands in to a destination it brings

The sender is ready before discovery has spoken, as docs/STARTING.md says; until then destination 7, which only discovery names, is refused with 503 and Retry-After. The test handed in at once and so depended on who was first. It hands in again until it is taken.

--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -247,7 +247,8 @@
     Stub never([](http::Message&) -> std::string { CHECK(false); });
     drains.watch = "\n" + check::list(9, true, check::entry("a", never.at(), 7, "DRAINING")) + "\nnonsense\n";
     Program second(other.path, drains, check::entry("b", never.at(), 8));
-    CHECK(second.status(handIn("drained", 300)) == 202);
+    // Ready comes before discovery has spoken: until then destination 7 is unknown and refused, to come again.
+    await([&] { return second.status(handIn("drained", 300)) == 202; });
     await([&] { return drains.of("drained") > 0; });
     CHECK(second.status(handIn("after", 200)) == 202);
     await([&] { return drains.of("after") > 0; });
