Send the next call elsewhere after a refusal that tells room

A full queue belongs to one endpoint; the limit belongs to all. Ruled out: an outage (the same endpoint delivers 15 to 20 a second meanwhile); the limit (share left). At fault: choose() kept to the sender's own order among endpoints as busy, whatever they answered. Change: an endpoint that refuses with room left goes behind its fellows in that order. Test: Many.AFullQueueSendsTheNextCallToAnotherEndpoint, red without the line; at a limit reached the order stays.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -192,7 +192,7 @@
     DestinationId destination = 0;
     int kind = 0;
     int zone = 0;
-    double order = 0;  // among endpoints as busy, drawn by chance
+    double order = 0;  // among endpoints as busy: drawn by chance, then by whose queue was found full
     bool apart = false;
     bool usable = false;
     std::uint64_t listed = 0;  // the last whole list that named it
@@ -482,6 +482,9 @@
             scarceUntil_[target.kind] = outage ? 0 : t_ + kScarce;
         }
         if (!good && o.result != Result::full) ++target.streak;
+        // Refused with room left: its queue is full, or it holds too many connections. That says nothing of
+        // its fellows, which go first from then on.
+        if (o.result == Result::full && tellsRoom(o) && *o.allowanceLeft > kAmple) target.order += 1;
         health(own, target, o);
         if (inParts(own)) share(own, o);
         else adapt(own, o.result);
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -613,6 +613,23 @@
     }
 }
 
+// A queue that is full says nothing of the fellow's; a limit, which they share, says it of both.
+TEST(Many, AFullQueueSendsTheNextCallToAnotherEndpoint) {
+    for (const double left : {0.9, 0.1})
+        for (int seed = 1; seed <= 10; ++seed) {
+            Rig rig(oneOfMany(), 1);
+            rig.sender = Sender(oneOfMany(), seed);
+            rig.turn({limitOf(900, 2)});
+            rig.hand("a", 0);
+            auto o = rig.result("a", Result::full, {}, rig.sent.at(0).endpoint);
+            o.allowanceLeft = left, o.allowedRate = 900;
+            rig.turn({o});
+            rig.run(seconds(5));
+            ASSERT_GE(rig.sent.size(), 2u);
+            EXPECT_EQ(rig.sent[1].endpoint != rig.sent[0].endpoint, left > 0.5);
+        }
+}
+
 TEST(Many, AnEndpointWithAKeptConnectionGoesBeforeOneWithout) {
     for (int seed = 1; seed <= 10; ++seed) {
         auto s = oneOfMany();
