Let deliveries of what was gone open its warm-up up to the fall multiple

Ruled out: limit (share left), queue (latency), slots; the fall multiple leaves twice what it can do. At fault: share() allowed 0.25 of a call for a delivery in a warm-up, reckoned as if all that is sent were delivered; but deliveries come no faster than the destination can, so room for them adds at most that part of its capacity to kRamp. Change: 0.6, from the fall multiple of the settings (2 - 1.25 - 0.15; less where it is less). Test: Many.AWarmUpFollowsTheDeliveriesOfWhatWasGone; the fleets of 8, 30 and 100 of Fleet.AColdReturnIsBorneAndUsed keep the rule.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,7 +72,9 @@
 // One of very many senders at a told limit.
 constexpr double kEqual = 0.9;       // of the limit that the senders' equal parts add up to
 constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the share left
-constexpr double kColdRoom = 0.25;   // the same while it warms up, whatever share is left
+constexpr double kWornRoom = 0.25;   // the same in a warm-up after refusals, whatever share is left
+constexpr double kColdRoom = 0.6;    // and after an outage without answers, as far as the fall multiple
+constexpr double kFallSlack = 0.15;  // leaves so much beside kRamp
 constexpr double kUntoldRoom = 0.6;  // taken for that share where a delivery tells none
 constexpr double kMore = 0.15;       // of the equal part that a delivery adds, times the same
 constexpr double kMostParts = 5;     // equal parts that one sender comes to at most
@@ -156,6 +158,7 @@
     Sec streakAt = 0;      // when it began
     bool down = false;     // in an outage
     Sec coldAt = -kNever;  // when the last outage ended, as far as seen
+    bool gone = false;     // in the last outage it did not answer, rather than refuse
     double told = 0;       // limit in calls a second for all senders; 0: none known
     double heard = -1;     // the same as heard in answers; -1: never
     double best1s = 0;     // best delivered rate of this sender
@@ -248,6 +251,8 @@
         double life = 0;
         for (const auto& g : set_.grades) life += seconds(g.giveUp) / static_cast<double>(set_.grades.size());
         lone_ = kLone / life;
+        if (set_.fallMultiple > 0)
+            coldRoom_ = std::clamp(set_.fallMultiple - kRamp - kFallSlack, 0.0, kColdRoom);
     }
 
     std::vector<Action> turn(Time now, const std::vector<Event>& events) {
@@ -556,6 +561,8 @@
              }));
         const bool was = own.down;
         if (own.streak - own.fullStreak >= kStreak || shut || own.share < kMostFail || spent) own.down = true;
+        if (own.down && !was)
+            own.gone = result != Result::full || (own.gone && t_ < own.coldAt + seconds(set_.warmUp));
         if (own.down && !was && sparse(own)) own.credit = random(), own.creditAt = t_;
     }
 
@@ -612,9 +619,11 @@
             own.partsAt = t_;
         } else if (o.result == Result::delivered) {
             // Danger: equal parts of what a cold destination can do lie idle with those who hold nothing for
-            // it. A delivery there allows a part of a call more: at most a third more in all, so that with
-            // kRamp the sum stays under the fall multiple even where every sender holds plenty.
-            own.credit = std::min(1.0, own.credit + kColdRoom);
+            // it. A delivery there allows a part of a call more. Deliveries come no faster than it can, so
+            // with kRamp the sum stays under the fall multiple even where every sender holds plenty. Danger:
+            // after refusals alone it may not be cold but short of room, and more calls would be refused as
+            // well.
+            own.credit = std::min(1.0, own.credit + (own.gone ? coldRoom_ : kWornRoom));
         } else if (o.result == Result::connectFailed) {
             own.credit = std::min(1.0, own.credit + 1);  // what never connected weighs nothing
         }
@@ -993,6 +1002,7 @@
     Settings set_;
     std::mt19937_64 chance_;
     double lone_ = 0;  // calls a second that a rare message stands for
+    double coldRoom_ = kColdRoom;
     bool started_ = false;
     Time start_{};
     Sec t_ = 0;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -537,6 +537,35 @@
     EXPECT_LE(calls, 14u);
 }
 
+// What did not answer at all and delivers again says by that what it can do: each delivery brings more of a
+// further call than after refusals, which tell of too little room. Deliveries come no faster than it can, so
+// the sum of all senders stays under the fall multiple.
+TEST(Many, AWarmUpFollowsTheDeliveriesOfWhatWasGone) {
+    const auto callsAfter = [](Result outage) {
+        auto s = oneOfMany();
+        s.warmUp = seconds(14), s.coldFrom = 0.19, s.fallMultiple = 2, s.maxHeld = 100;
+        Rig rig(s, 1);
+        rig.turn({limitOf(270, 1)});
+        for (int i = 0; i < 80; ++i) rig.hand("m" + std::to_string(i), 0, seconds(200));
+        const auto answer = [&](Result result) {
+            auto o = rig.result(rig.sent.back().id, result);
+            o.allowanceLeft = 0.9, o.allowedRate = 270;
+            const auto before = rig.sent.size();
+            rig.turn({o});
+            while (rig.sent.size() == before) rig.run(milliseconds(100));
+        };
+        answer(outage);
+        const auto from = rig.sent.size();
+        for (const Duration until = rig.now + s.warmUp; rig.now < until;) answer(Result::delivered);
+        return rig.sent.size() - from;
+    };
+    const auto refused = callsAfter(Result::full), gone = callsAfter(Result::connectFailed);
+    // Its equal part is 9 calls in these 14 s.
+    EXPECT_LE(refused, 14u);
+    EXPECT_GE(gone, refused + 5);
+    EXPECT_LE(gone, 26u);
+}
+
 /// Tries of twenty such senders within 8 s, each with one message for a destination that always answers so.
 int triesOfTwenty(Result result, Duration wait, int endpoints, int kind = 0) {
     int tries = 0;
