Let a big partner's deliveries open its warm-up in a large fleet, too

At fault: inParts() held only for parts under a call a second; a bigger one was paced in a warm-up by equal parts alone, and what lay idle with senders that held nothing went to nobody. Tests: AWarmUpFollowsTheDeliveriesOfWhatWasGone at 100 senders and 281 a second, red without (gone under 1.5 equal parts); Fleet.AColdReturnIsBorneAndUsed keeps the rule there, too.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -655,8 +655,11 @@
         return own.rate;
     }
     bool sparse(const Owner& own) const { return set_.senders > kFewSenders && fair(own) < kSparse; }
-    // Paced by share(), not by adapt().
-    bool inParts(const Owner& own) const { return sparse(own) && own.told > 0; }
+    // Paced by share(), not by adapt(): where met seldom, and where many share a warm-up.
+    bool inParts(const Owner& own) const {
+        const bool warming = set_.senders > kFewSenders && t_ < own.coldAt + seconds(set_.warmUp);
+        return (sparse(own) || warming) && own.told > 0;
+    }
     static bool tellsRoom(const Outcome& o) { return o.allowedRate && *o.allowedRate > 0 && o.allowanceLeft; }
 
     double credit(Owner& own, int routes) {
