Test a fleet's lowered limit and uneven load in virtual time, at 8 to 300 senders

The model, the stand-ins and described fleets gain the trouble 'limit' (times the usual one, told in answers), the model's clients a deal of senders they turn to. A limit halved for 9 s is found with under a quarter refused and nine in ten delivered; a fifth of the senders with four fifths of the messages deliver nine in ten at six tenths of the limits, with under a tenth refused. At 8 or 10, 30, 100 and 300.

--- a/lab/agree/agree.cpp
+++ b/lab/agree/agree.cpp
@@ -71,6 +71,7 @@
             case From::start: add(To::start); break;
             // Only a description of a fleet has these, and that is played by itself.
             case From::slow: unknown(s, "slow answers");
+            case From::limit: unknown(s, "a changed limit");
             case From::zoneLost:
             case From::zoneBack: unknown(s, "zones of a scenario");
             case From::stop: unknown(s, "planned stop");
--- a/lab/agree/ladder.cpp
+++ b/lab/agree/ladder.cpp
@@ -56,6 +56,7 @@
             case From::back: e.kind = To::back; break;
             case From::drain: e.kind = To::drain; break;
             case From::slow: e.kind = To::slow; break;
+            case From::limit: e.kind = To::limit; break;
             case From::kill: e.kind = To::kill; break;
             case From::start: e.kind = To::start; break;
             case From::zoneLost: e.kind = To::zoneLost; break;
--- a/lab/desk/desk.cpp
+++ b/lab/desk/desk.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 Desk::Desk(const PartnerModel& model, std::uint64_t seed, Instant now)
-    : model_(model), chance_(seed), busyUntil_(now), creditAt_(now) {}
+    : model_(model), usualLimit_(model.limit), chance_(seed), busyUntil_(now), creditAt_(now) {}
 
 void Desk::coolDown(Instant now) {
     coldAt_ = busyUntil_ = now;
--- a/lab/desk/desk.hpp
+++ b/lab/desk/desk.hpp
@@ -73,12 +73,15 @@
     void setPart(double part) { part_ = part; }
     /// Calls take so many times as long from now on.
     void setSlow(double factor) { slow_ = factor; }
+    /// It takes this many times its usual limit from now on, and says so in its answers.
+    void setLimit(double factor) { model_.limit = factor * usualLimit_; }
     const PartnerModel& model() const { return model_; }
 
   private:
     double took();
 
     PartnerModel model_;
+    double usualLimit_ = 0;
     double part_ = 1, slow_ = 1;
     boost::random::mt19937_64 chance_;
     bool fallen_ = false;
--- a/lab/fleet/description.cpp
+++ b/lab/fleet/description.cpp
@@ -249,6 +249,7 @@
                                                                   {"back", Kind::back},
                                                                   {"drain", Kind::drain},
                                                                   {"slow", Kind::slow},
+                                                                  {"limit", Kind::limit},
                                                                   {"kill", Kind::kill},
                                                                   {"start", Kind::start},
                                                                   {"zone-lost", Kind::zoneLost},
@@ -269,6 +270,7 @@
             case Kind::back:
             case Kind::drain: t.which = partnerOf(needs("partner")); break;
             case Kind::slow:
+            case Kind::limit:
                 t.which = partnerOf(needs("partner"));
                 t.factor = needs("factor").as<double>();
                 break;
--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -370,7 +370,9 @@
     void handIn(Handle m) {
         auto& message = messages_[m];
         ++message.tries;
-        const auto s = static_cast<Handle>(next_++ % senders_.size());
+        const auto& deal = fleet_.senders.deal;
+        const auto turn = next_++;
+        const auto s = static_cast<Handle>(deal.empty() ? turn % senders_.size() : deal[turn % deal.size()]);
         auto& sender = senders_[s];
         if (!sender.alive) return again(m, fleet_.clients.pause);
         const auto begins = work(s, fleet_.senders.perMessage);
@@ -718,6 +720,7 @@
                 }
                 break;
             case Trouble::Kind::slow: sides_.at(t.which).desk.setSlow(t.factor); break;
+            case Trouble::Kind::limit: sides_.at(t.which).desk.setLimit(t.factor); break;
             case Trouble::Kind::kill: kill(senders_.at(t.which)); break;
             case Trouble::Kind::start:
                 if (!senders_.at(t.which).alive) begin(static_cast<Handle>(t.which));
--- a/lab/model/day.hpp
+++ b/lab/model/day.hpp
@@ -47,6 +47,7 @@
     int zone(int sender) const {
         return zones.empty() ? 0 : zones[static_cast<std::size_t>(sender) % zones.size()];
     }
+    std::vector<std::size_t> deal;  ///< senders by position that clients turn to in turn; none: each
 };
 
 struct Clients {
@@ -78,6 +79,7 @@
         back,
         drain,  ///< of one endpoint
         slow,   ///< calls take `factor` times as long
+        limit,  ///< it takes `factor` times its usual limit
         kill,
         start,
         zoneLost,       ///< its endpoints and its senders
--- a/lab/plan/breaks.cpp
+++ b/lab/plan/breaks.cpp
@@ -105,6 +105,7 @@
                 case T::back: return "the return of " + whose() + at;
                 case T::drain: return "the drain at " + whose() + at;
                 case T::slow: return "the slow answers of " + whose() + at;
+                case T::limit: return "the changed limit of " + whose() + at;
                 case T::kill: return fmt::format("the death of sender {}{}", t.which, at);
                 case T::start: return fmt::format("the start of sender {}{}", t.which, at);
                 case T::zoneLost: return "the loss of zone " + d.zones.at(t.which) + at;
--- a/lab/rig/scenario.hpp
+++ b/lab/rig/scenario.hpp
@@ -32,6 +32,7 @@
         start,
         move,
         slow,
+        limit,
         zoneLost,
         zoneBack
     } kind = Kind::discovery;
--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -234,6 +234,7 @@
                 discovery_.setMode(Discovery::Mode::refusing);
                 break;
             case Event::Kind::slow: partners_[event.which]->slow(event.factor); break;
+            case Event::Kind::limit: partners_[event.which]->limit(event.factor); break;
             case Event::Kind::zoneLost:
             case Event::Kind::zoneBack:
                 zone(static_cast<int>(event.which), event.kind == Event::Kind::zoneLost);
--- a/lab/standin/partner.cpp
+++ b/lab/standin/partner.cpp
@@ -116,6 +116,11 @@
     desk_.setSlow(factor);
 }
 
+void Partner::limit(double factor) {
+    const std::lock_guard lock(mutex_);
+    desk_.setLimit(factor);
+}
+
 bool Partner::isDown() const {
     const std::lock_guard lock(mutex_);
     return isDown_;
--- a/lab/standin/partner.hpp
+++ b/lab/standin/partner.hpp
@@ -40,6 +40,8 @@
     void up(int zone);
     /// Calls take so many times as long from now on.
     void slow(double factor);
+    /// It takes this many times its usual limit from now on, and tells so.
+    void limit(double factor);
     /// Cold since now, without having been down: it came back a moment ago.
     void coolDown();
     bool fallen() const;
--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -24,6 +24,7 @@
   - {name: town, count: 2, endpoints: 2, capacity: 2/s, answers: {p50: 80 ms, p99: 1.2 s, most: 4 s}}
 troubles:
   - {at: 20 s, what: slow, partner: town-1, factor: 4}
+  - {at: 25 s, what: limit, partner: big, factor: 0.5}
   - {at: 5 s, what: zone-lost, zone: east}
 )";
 
@@ -39,10 +40,12 @@
     EXPECT_EQ(d.partners[1].is.does.serve, 80ms);
     EXPECT_EQ(d.senders.perMessage, 120us);
     EXPECT_DOUBLE_EQ(d.goal, 0.9);
-    ASSERT_EQ(d.troubles.size(), 2u);
+    ASSERT_EQ(d.troubles.size(), 3u);
     EXPECT_EQ(d.troubles[0].kind, model::Trouble::Kind::zoneLost);
     EXPECT_EQ(d.troubles[0].which, 1u);
     EXPECT_DOUBLE_EQ(d.troubles[1].factor, 4);
+    EXPECT_EQ(d.troubles[2].kind, model::Trouble::Kind::limit);
+    EXPECT_DOUBLE_EQ(d.troubles[2].factor, 0.5);
 }
 
 TEST(Fleet, WhatIsWrittenIsReadAgain) {
--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -139,6 +139,60 @@
     }
 }
 
+// A destination lowers its limit to half for 9 s and raises it again. Each sender meets it seldom: the lower
+// limit is found with few calls refused, and the room is used again once it is back.
+TEST(Fleet, ALoweredLimitIsFoundAndItsRoomUsedAgain) {
+    for (const int senders : {8, 30, 100, 300}) {
+        auto f = fleet(1, 90, 90);
+        f.partners[0].does.refusedCount = true;
+        f.senders.count = senders;
+        f.senders.slots = senders > 8 ? 4 : 24;
+        f.senders.held = 2400 / senders;
+        f.service.giveUp = f.service.deadline = 12s;
+        auto steady = f;
+        f.troubles = {{Kind::limit, 6s, 0, 0.5}, {Kind::limit, 15s, 0, 1}};
+        double delivered = 0, handed = 0, refused = 0, unlowered = 0;
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            const auto l = load(f, 0.7, 26s, seed, 0.1);
+            const auto day = model::play(f, l, seed);
+            EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
+            delivered += static_cast<double>(day.delivered);
+            handed += static_cast<double>(day.messages);
+            refused += static_cast<double>(day.refusedCalls);
+            unlowered += static_cast<double>(model::play(steady, l, seed).refusedCalls);
+        }
+        EXPECT_GT(delivered, 0.9 * handed) << senders;
+        EXPECT_LT(refused, 0.25 * handed) << senders;
+        EXPECT_GT(refused, unlowered) << senders;  // the limit did fall
+    }
+}
+
+// A fifth of the senders get four fifths of what comes in. Equal parts of the limit would be far too little
+// for them; what the others leave idle is theirs.
+TEST(Fleet, ALimitIsUsedByThoseThatHaveMessages) {
+    for (const int senders : {10, 30, 100, 300}) {
+        auto f = fleet(2, 90, 90);
+        for (auto& p : f.partners) p.does.refusedCount = true;
+        f.senders.count = senders;
+        f.senders.slots = senders > 10 ? 4 : 24;
+        f.senders.held = 12000 / senders;
+        f.service.giveUp = f.service.deadline = 12s;
+        const auto busy = static_cast<std::size_t>(senders) / 5;
+        for (std::size_t i = 0; i < static_cast<std::size_t>(senders); ++i)
+            for (int times = i < busy ? 16 : 1; times > 0; --times) f.senders.deal.push_back(i);
+        double delivered = 0, handed = 0, refused = 0;
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            const auto day = model::play(f, load(f, 0.6, 26s, seed), seed);
+            EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
+            delivered += static_cast<double>(day.delivered);
+            handed += static_cast<double>(day.messages);
+            refused += static_cast<double>(day.refusedCalls);
+        }
+        EXPECT_GT(delivered, 0.9 * handed) << senders;
+        EXPECT_LT(refused, 0.1 * handed) << senders;
+    }
+}
+
 // Seven in ten senders are killed at once with messages in hand and come back together, at limits that
 // refused calls use up: what they owe ends in time, nothing is doubled, and their return does not shut the
 // partners.
