Let the fleet tests share their sums, and two warm-up tests their answers

Read once more: five fleet tests on the model added up delivered, handed and refused in loops of their own, two of them line for line; one Sums does it. Two tests of a warm-up answered all calls sent since in the same loop; answerAll() does it. A comment spoke of fellows that the test does not have.

--- a/tests/lab/model_test.cpp
+++ b/tests/lab/model_test.cpp
@@ -67,6 +67,16 @@
     EXPECT_NE(a.events, model::play(f, l, 4).events);
 }
 
+/// What became of the messages of several days together.
+struct Sums {
+    double delivered = 0, handed = 0, refused = 0;
+    void add(const model::Day& day) {
+        delivered += static_cast<double>(day.delivered);
+        handed += static_cast<double>(day.messages);
+        refused += static_cast<double>(day.refusedCalls);
+    }
+};
+
 // What is harmless in one sender and harmful in all: three hundred that meet each partner now and then, at a
 // limit that refused calls use up. Each that tries a little more than its part sums up to no call let
 // through.
@@ -101,19 +111,17 @@
         f.senders.slots = 4;
         f.senders.held = 40;
         f.service.giveUp = f.service.deadline = 12s;
-        double refused = 0, delivered = 0, handed = 0;
+        Sums all;
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-            std::vector<model::Handing> all;
-            for (int i = 0; i < 160; ++i) all.push_back({1s + i * 2ms, 0, 0, 1});
-            for (int i = 0; i < 250; ++i) all.push_back({1500ms + i * 40ms, 0, 0, 0});
-            const auto day = model::play(f, all, seed);
-            refused += static_cast<double>(day.refusedCalls);
-            delivered += static_cast<double>(day.delivered);
-            handed += static_cast<double>(day.messages);
+            std::vector<model::Handing> clump;
+            for (int i = 0; i < 160; ++i) clump.push_back({1s + i * 2ms, 0, 0, 1});
+            for (int i = 0; i < 250; ++i) clump.push_back({1500ms + i * 40ms, 0, 0, 0});
+            const auto day = model::play(f, clump, seed);
+            all.add(day);
             EXPECT_TRUE(day.rules.kept()) << senders;
         }
-        EXPECT_LT(refused, refusedMost * handed) << senders;
-        EXPECT_GT(delivered, deliveredLeast * handed) << senders;
+        EXPECT_LT(all.refused, refusedMost * all.handed) << senders;
+        EXPECT_GT(all.delivered, deliveredLeast * all.handed) << senders;
     }
 }
 
@@ -128,14 +136,13 @@
         f.senders.held = 14 * limit / senders;
         f.service.giveUp = f.service.deadline = 12s;
         f.troubles = {{Kind::outage, 6s, 0}, {Kind::back, 11s, 0}};
-        double delivered = 0, handed = 0;
+        Sums all;
         for (std::uint64_t seed = 1; seed <= 6; ++seed) {
             const auto day = model::play(f, load(f, 0.6, 26s, seed, 0.3), seed);
             EXPECT_TRUE(day.rules.kept()) << senders << " senders at " << limit << ", seed " << seed;
-            delivered += static_cast<double>(day.delivered);
-            handed += static_cast<double>(day.messages);
+            all.add(day);
         }
-        EXPECT_GT(delivered, 0.95 * handed) << senders << " senders at " << limit;
+        EXPECT_GT(all.delivered, 0.95 * all.handed) << senders << " senders at " << limit;
     }
 }
 
@@ -151,19 +158,17 @@
         f.service.giveUp = f.service.deadline = 12s;
         auto steady = f;
         f.troubles = {{Kind::limit, 6s, 0, 0.5}, {Kind::limit, 15s, 0, 1}};
-        double delivered = 0, handed = 0, refused = 0, unlowered = 0;
+        Sums lowered, steadily;
         for (std::uint64_t seed = 1; seed <= 6; ++seed) {
             const auto l = load(f, 0.7, 26s, seed, 0.1);
             const auto day = model::play(f, l, seed);
             EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
-            delivered += static_cast<double>(day.delivered);
-            handed += static_cast<double>(day.messages);
-            refused += static_cast<double>(day.refusedCalls);
-            unlowered += static_cast<double>(model::play(steady, l, seed).refusedCalls);
+            lowered.add(day);
+            steadily.add(model::play(steady, l, seed));
         }
-        EXPECT_GT(delivered, 0.9 * handed) << senders;
-        EXPECT_LT(refused, 0.25 * handed) << senders;
-        EXPECT_GT(refused, unlowered) << senders;  // the limit did fall
+        EXPECT_GT(lowered.delivered, 0.9 * lowered.handed) << senders;
+        EXPECT_LT(lowered.refused, 0.25 * lowered.handed) << senders;
+        EXPECT_GT(lowered.refused, steadily.refused) << senders;  // the limit did fall
     }
 }
 
@@ -180,16 +185,14 @@
         const auto busy = static_cast<std::size_t>(senders) / 5;
         for (std::size_t i = 0; i < static_cast<std::size_t>(senders); ++i)
             for (int times = i < busy ? 16 : 1; times > 0; --times) f.senders.deal.push_back(i);
-        double delivered = 0, handed = 0, refused = 0;
+        Sums all;
         for (std::uint64_t seed = 1; seed <= 4; ++seed) {
             const auto day = model::play(f, load(f, 0.6, 26s, seed), seed);
             EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
-            delivered += static_cast<double>(day.delivered);
-            handed += static_cast<double>(day.messages);
-            refused += static_cast<double>(day.refusedCalls);
+            all.add(day);
         }
-        EXPECT_GT(delivered, 0.9 * handed) << senders;
-        EXPECT_LT(refused, 0.1 * handed) << senders;
+        EXPECT_GT(all.delivered, 0.9 * all.handed) << senders;
+        EXPECT_LT(all.refused, 0.1 * all.handed) << senders;
     }
 }
 
@@ -210,16 +213,14 @@
         }
         std::stable_sort(f.troubles.begin(), f.troubles.end(),
                          [](const auto& a, const auto& b) { return a.at < b.at; });
-        double delivered = 0, handed = 0, refused = 0;
+        Sums all;
         for (std::uint64_t seed = 1; seed <= 4; ++seed) {
             const auto day = model::play(f, load(f, 0.95, 20s, seed, 0.3), seed);
             EXPECT_TRUE(day.rules.kept()) << senders << " senders, seed " << seed;
-            delivered += static_cast<double>(day.delivered);
-            handed += static_cast<double>(day.messages);
-            refused += static_cast<double>(day.refusedCalls);
+            all.add(day);
         }
-        EXPECT_GT(delivered, 0.85 * handed) << senders;
-        EXPECT_LT(refused, 0.2 * handed) << senders;
+        EXPECT_GT(all.delivered, 0.85 * all.handed) << senders;
+        EXPECT_LT(all.refused, 0.2 * all.handed) << senders;
     }
 }
 
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -498,6 +498,15 @@
     }
 }
 
+/// Answers each call sent since, with so much left of the limit.
+void answerAll(Rig& rig, std::size_t& handled, Result result, double left, double limit) {
+    for (; handled < rig.sent.size(); ++handled) {
+        auto o = rig.result(rig.sent[handled].id, result);
+        o.allowanceLeft = left, o.allowedRate = limit;
+        rig.turn({o});
+    }
+}
+
 /// Calls within the span of a sender that has plenty for a limit, where answers tell so much room.
 std::size_t callsOfOneWithPlenty(Settings s, double limit, double left, Duration span,
                                  std::vector<Event> before = {}) {
@@ -508,11 +517,7 @@
     for (int i = 0; i < 80; ++i) rig.hand("m" + std::to_string(i), 0, seconds(60));
     std::size_t handled = 0;
     for (const Duration until = rig.now + span; rig.now < until;) {
-        for (; handled < rig.sent.size(); ++handled) {
-            auto o = rig.result(rig.sent[handled].id, Result::delivered);
-            o.allowanceLeft = left, o.allowedRate = limit;
-            rig.turn({o});
-        }
+        answerAll(rig, handled, Result::delivered, left, limit);
         rig.run(milliseconds(100));
     }
     return rig.sent.size();
@@ -551,14 +556,10 @@
         for (int i = 0; i < 200; ++i) rig.hand("m" + std::to_string(i), 0, seconds(200));
         std::size_t handled = 0;
         const auto answer = [&](Result result) {
-            for (; handled < rig.sent.size(); ++handled) {
-                auto o = rig.result(rig.sent[handled].id, result);
-                o.allowanceLeft = 0.9, o.allowedRate = limit;
-                rig.turn({o});
-            }
+            answerAll(rig, handled, result, 0.9, limit);
             rig.run(milliseconds(50));
         };
-        // Until its fellows and itself have seen it fail, then until it delivers again.
+        // An outage, then until it delivers again.
         const auto outageOver = rig.now + seconds(5);
         while (rig.now < outageOver) answer(outage);
         for (const auto seen = rig.sent.size(); rig.sent.size() == seen;) answer(Result::delivered);
