Keep no idle connection at a kind of partner that turns new ones away for holding too many

Ruled out: limits (134 of them told no room), connects refused (none: "ended 4" does not occur), the bucket (it ends messages, as a consequence). At fault: observe() and part() in src/brain.cpp. Only a refused connect told that a kind takes few connections; a 503 for holding too many did not, and a sender that keeps a connection is never refused where it does. Mend: such a 503 counts, for 8 s, for its kind. Also: a message that an earlier life took and that never left is not charged for a retry: failed connects alone emptied the bucket at a restart, and most of a backlog was given up with no call. And a message is held to a stricter effect than its class's where it is told one.

--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -108,6 +108,7 @@
     Duration grace{};  ///< how long from now it may still be delivered
     std::optional<OrderKey> key{};
     std::optional<Past> past{};  ///< it was taken by an earlier life
+    Effect least = Effect::pure;  ///< held to this, where its class is held to less
 };
 
 enum class Result {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -105,6 +105,7 @@
 constexpr Sec kAnswerMargin = 0.005;   // final answers go out this long before the deadline
 constexpr double kDropped = 0.5;       // share of calls on kept connections without an answer: none is kept
 constexpr Sec kScarce = 60;            // after a connection was refused, none is kept at that kind
+constexpr Sec kScarceTold = 8;         // and so long after it was turned away, as one that is shut does, too
 constexpr Sec kRefollow = 1.0;         // first pause before the list is asked for again
 constexpr Sec kRefollowMost = 8.0;     // and the longest
 
@@ -226,6 +227,7 @@
     MessageId id;
     Place* place = nullptr;  // its destination
     int grade = 0;
+    Effect effect = Effect::pure;  // its class's, or a stricter one
     std::optional<OrderKey> key;
     Sec taken = 0, aimAt = 0, deadline = 0;
     Sec notBefore = 0;  // end of the backoff
@@ -298,6 +300,7 @@
         Message m;
         m.id = h.id;
         m.grade = h.grade;
+        m.effect = std::max(g.effect, h.least);
         if (g.inOrder) m.key = h.key;
         m.taken = m.notBefore = t_;
         m.deadline = t_ + seconds(h.grace);
@@ -313,8 +316,9 @@
 
     // Danger: what an earlier life held comes back all at once, and what that life had learnt of outages is
     // gone: a partner that is down or cold would get the whole backlog. What was sent before counts as a
-    // retry, so backoff spreads it and the bucket pays; its failures count as if seen now; and the pace holds
-    // from the first call. The zone of an earlier attempt is no longer known.
+    // retry, so backoff spreads it and the bucket pays; what never left is tried for the first time, or a
+    // bucket would give most of it up untried; failures count as if seen now; and the pace holds from the
+    // first call. The zone of an earlier attempt is no longer known.
     void resume(Message& m, const Past& past) {
         m.attempts = past.attempts;
         m.mayHaveRun = past.mayHaveRun;
@@ -322,7 +326,7 @@
         m.keyedZone = -1;
         if (past.attempts + past.failures > 0) {
             m.notBefore = t_ + kBackoffBase * (kBackoffFloor + (1 - kBackoffFloor) * random());
-            m.price = kRetryCost;
+            m.price = past.attempts > 0 ? kRetryCost : 0;
         }
         Owner& own = m.place->own;
         if (own.streak == 0) own.streakAt = t_;
@@ -433,14 +437,15 @@
         const bool ran = o.result == Result::error || o.result == Result::timeout ||
                          o.result == Result::reset || o.result == Result::cancelled ||
                          o.result == Result::delivered;
+        const bool kept = calls_.at(m.call).kept;
         if (ran) {
-            double& failed = failed_[calls_.at(m.call).kept];
+            double& failed = failed_[kept];
             const bool answered = o.result == Result::delivered || o.result == Result::error;
             failed += kSmooth * ((answered ? 0 : 1) - failed);
         }
         hangUp(m);
         if (o.result != Result::moot) m.paid = 0;
-        observe(target, o);
+        observe(target, o, kept);
         if (ran && !m.mayHaveRun) {
             m.mayHaveRun = true;
             m.keyedFrom = m.sentAt;
@@ -470,21 +475,25 @@
         calls_.erase(call);
     }
 
-    void observe(Target& target, const Outcome& o) {
+    void observe(Target& target, const Outcome& o, bool kept) {
         Owner& own = owner(target);
         if (o.result == Result::moot || o.stale) return;
         own.learntAt = t_;
         if (o.allowedRate && *o.allowedRate > 0) own.told = *o.allowedRate;
-        if (o.allowedRate) own.heard = *o.allowedRate;
+        if (o.allowedRate) own.heard = *o.allowedRate, reports_ = true;
         const bool good = o.result == Result::delivered;
         // What never connected weighs nothing.
         if (own.doubted && (good || o.result == Result::connectFailed))
             own.belief = std::min(kDoubtMost, own.belief + (good ? kDoubtGain : 1));
         if (own.doubted && good) own.provenAt = std::min(own.provenAt, t_);
         if (t_ > own.provenAt + seconds(set_.warmUp)) own.doubted = false;
+        // Turned away on a new connection, without the report that answers have here: it holds too many.
+        Sec& scarce = scarceUntil_[target.kind];
+        if (o.result == Result::full && !kept && reports_ && !o.allowedRate && o.wait <= Duration{})
+            scarce = std::max(scarce, t_ + kScarceTold);
         if (o.result == Result::connectFailed && 2 * o.took < set_.connectTimeout) {
             const bool outage = own.streak > 0 && t_ > own.streakAt + kFewSpan;
-            scarceUntil_[target.kind] = outage ? 0 : t_ + kScarce;
+            scarce = outage ? 0 : t_ + kScarce;
         }
         if (!good && o.result != Result::full) ++target.streak;
         // Refused with room left: its queue is full, or it holds too many connections. That says nothing of
@@ -685,9 +694,8 @@
 
     // The retry design: may it be tried again, after what pause and at what cost?
     void retry(std::uint64_t seq, Message& m, Result result) {
-        const Grade& g = set_.grades[m.grade];
         const bool again = result == Result::full || result == Result::connectFailed ||
-                           result == Result::moot || g.effect != Effect::unsafe;
+                           result == Result::moot || m.effect != Effect::unsafe;
         if (!again || m.attempts >= set_.maxAttempts) return end(seq);
         // Danger: what could not go in time keeps trying, takes the room of fresh messages that are worth
         // more, and the load stays up long after its cause has gone. Past its aim a message waits longer
@@ -704,8 +712,8 @@
     // ---- final answers ----
     bool mayRefuse(const Message& m) const {
         const Grade& g = set_.grades[m.grade];
-        return !m.mayHaveRun || g.effect == Effect::pure ||
-               (g.effect == Effect::keyed && g.keyScope == KeyScope::all);
+        return !m.mayHaveRun || m.effect == Effect::pure ||
+               (m.effect == Effect::keyed && g.keyScope == KeyScope::all);
     }
 
     void end(std::uint64_t seq) {
@@ -747,8 +755,8 @@
     // Until when another attempt may be sent, as far as the message's class goes.
     Sec lastSend(const Message& m) const {
         const Grade& g = set_.grades[m.grade];
-        if (!m.mayHaveRun || g.effect == Effect::pure) return kNever;
-        return g.effect == Effect::unsafe ? m.taken - kTick : m.keyedFrom + seconds(g.keyWindow);
+        if (!m.mayHaveRun || m.effect == Effect::pure) return kNever;
+        return m.effect == Effect::unsafe ? m.taken - kTick : m.keyedFrom + seconds(g.keyWindow);
     }
 
     // Until when each way to the destination is told to wait.
@@ -861,8 +869,8 @@
             if (m.attempts == 0 && t_ < turns.restUntil) return lookAt(turns.restUntil);
         }
         if (m.mayHaveRun) {
-            if (g.effect == Effect::unsafe) return false;
-            if (g.effect == Effect::keyed && (t_ + kTick > m.keyedFrom + seconds(g.keyWindow) ||
+            if (m.effect == Effect::unsafe) return false;
+            if (m.effect == Effect::keyed && (t_ + kTick > m.keyedFrom + seconds(g.keyWindow) ||
                                               (g.keyScope == KeyScope::zone && target.zone != m.keyedZone)))
                 return false;
         }
@@ -879,7 +887,7 @@
 
     Target* choose(std::uint64_t seq, const Message& m) {
         const auto& targets = m.place->targets;
-        const bool unsafe = set_.grades[m.grade].effect == Effect::unsafe;
+        const bool unsafe = m.effect == Effect::unsafe;
         const bool spoilt = std::none_of(targets.begin(), targets.end(), [](const Target* x) {
             return x->usable && x->streak == 0 && !x->silent;
         });
@@ -915,7 +923,7 @@
         if (m.attempts++ == 0) dest.bucket.firstTry();
         m.sentAt = t_;
         const double usual = std::max(own.latency, kFirstLatency);
-        const double extra = set_.grades[m.grade].effect == Effect::unsafe ? kUnsafePatience : 1;
+        const double extra = m.effect == Effect::unsafe ? kUnsafePatience : 1;
         const Sec until = std::min(m.deadline, t_ + extra * std::max(kLeastPatience, kPatience * usual));
         const Sec last = lastSend(m);
         actions_.push_back(Send{m.id, target.id, start_ + duration(until),
@@ -932,7 +940,7 @@
         for (auto& [seq, m] : messages_) {
             if (!m.out() || m.ended || m.calledOff) continue;
             const Call& call = calls_.at(m.call);
-            const bool unsafe = set_.grades[m.grade].effect == Effect::unsafe;
+            const bool unsafe = m.effect == Effect::unsafe;
             const Sec jamAt = call.sentAt + kJamPatience * (unsafe ? kJamUnsafe : 1);
             if (t_ < jamAt) lookAt(jamAt);
             if (!call.target->silent || t_ < jamAt) continue;
@@ -944,9 +952,10 @@
     }
 
     // Danger: some endpoints take few connections, idle ones counted, and senders that each keep one
-    // shut each other out. A connection refused at once shows such a kind: none is kept there where met
-    // seldom. A crash refuses at once too, but goes on doing so: refusals on end mean that, and a fleet
-    // that then kept none would pay for a new one with every call long after.
+    // shut each other out. A connection refused at once, or turned away, shows such a kind: none is kept
+    // there where met seldom. Those who keep one learn it from the kind's other endpoints. A crash refuses
+    // at once too, but goes on doing so: refusals on end mean that, and a fleet that then kept none would
+    // pay for a new one with every call long after.
     // Danger: what stands between may drop idle connections unseen, and the next call on one gets no answer.
     // Once many more calls get none on kept connections than on new ones, none is kept for a while. It may
     // hurt where chance alone makes the difference, for the price of new connections.
@@ -1022,6 +1031,7 @@
     std::map<OrderKey, Turns> turns_;
     std::vector<Owner*> hushed_;  // owners with silent calls
     double failed_[2] = {0, 0};  // smoothed shares of calls without an answer, on new and on kept connections
+    bool reports_ = false;  // an answer has told of a limit, or that there is none
     Sec droppedUntil_ = 0;
     std::map<int, Sec> scarceUntil_;        // by kind: its endpoints take few connections
     std::map<EndpointId, Endpoint> later_;  // ids that stand for another destination once their calls end
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -730,6 +730,46 @@
     return closes;
 }
 
+// Danger: an endpoint that holds as many connections as it can answers 503 on a new one, without a report.
+// Those that hold one are never refused there, and hundreds of senders kept each other out for good.
+TEST(Found, IdleConnectionsAreClosedAtAKindThatTurnsNewOnesAway) {
+    struct Way {
+        bool reports, wait, report, kept;
+        int closes;
+    };
+    for (const Way& way : {Way{true, false, false, false, 2}, Way{true, true, false, false, 0},
+                           Way{true, false, true, false, 0}, Way{true, false, false, true, 0},
+                           Way{false, false, false, false, 0}}) {
+        auto s = oneOfMany();
+        s.keepAlive = seconds(5);
+        Rig rig(s, 0);
+        rig.turn({ListNews{ListKind::changes,
+                           {{"x", 2, 0, 0, {}, 0}, {"y", 3, 0, 0, {}, 0}, {"z", 4, 0, 0, {}, 0}}}});
+        int closes = 0;
+        const auto call = [&](const std::string& id, DestinationId d, Result result, bool report, bool wait) {
+            rig.turn({Handed{id, d, 0, seconds(10), {}}});
+            ASSERT_EQ(rig.count(id), 1);
+            auto o = rig.result(id, result, {}, rig.sent.back().endpoint);
+            if (report) o.allowedRate = 0.5, o.allowanceLeft = 0.2;
+            if (wait) o.wait = milliseconds(100);
+            for (const auto& a : rig.turn({o})) closes += std::holds_alternative<Close>(a);
+            rig.now += milliseconds(300);
+        };
+        call("a", 4, Result::delivered, way.reports, false);
+        if (way.kept) call("b", 2, Result::delivered, way.reports, false);
+        call("c", 2, Result::full, way.report, way.wait);
+        closes = 0;
+        // Two others of its kind deliver: one met before, one for the first time.
+        call("d", 4, Result::delivered, way.reports, false);
+        call("e", 3, Result::delivered, way.reports, false);
+        EXPECT_EQ(closes, way.closes);
+        rig.now += seconds(9);
+        closes = 0;
+        call("f", 3, Result::delivered, way.reports, false);
+        EXPECT_EQ(closes, 0);
+    }
+}
+
 TEST(Found, IdleConnectionsAreClosedAtAKindThatRefusesThem) {
     EXPECT_EQ(closesAfter(Result::connectFailed, milliseconds(20)), 1);    // at that kind, not at the other
     EXPECT_EQ(closesAfter(Result::connectFailed, milliseconds(1000)), 0);  // a dead machine tells nothing
