Answer what stands in the queue, was half read or was told to stay when a stop begins

At fault: Front::stop() shut the listener with connections in its queue, which resets them; admit() dropped one that was accepted already; answer() settled whether the connection stays before the decision on the message, and serve() broke off after saying that it does; a request half read was closed without a word. Mend, an order of steps: answers say that the connection ends; the queue is taken; the listener is shut; whoever was told before that the connection stays has 300 ms to send once more, and is answered; what is shut then has said nothing since, and half a request gets a 503.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -24,7 +24,9 @@
 constexpr milliseconds kRead{2000};
 constexpr milliseconds kWrite{1000};
 constexpr milliseconds kIdle{10000};
-constexpr milliseconds kPause{20};  // between tries where no descriptor or thread is to be had
+constexpr milliseconds kQueue{100};  // for what a listener has in its queue at a stop
+constexpr milliseconds kLast{300};   // for a last request, or the rest of one, at a stop
+constexpr milliseconds kPause{20};   // between tries where no descriptor or thread is to be had
 // After the last answer, so long and so much is dropped: a close with bytes unread would reset it away.
 constexpr milliseconds kDrain{1000};
 constexpr std::size_t kMostDrained = 80 << 20;
@@ -33,6 +35,7 @@
 constexpr milliseconds kRested{2000};
 constexpr milliseconds kSilent{300};
 constexpr milliseconds kSlow{600};
+constexpr const char* kComeAgain = "0.3";  // seconds, for whoever found no room or a stop
 
 std::string seconds(milliseconds span) {
     char text[32];
@@ -42,7 +45,7 @@
 
 /// No room: told so at once, without a thread, and never waited for.
 void turnAway(const net::Fd& fd) {
-    static const auto text = http::response(503, {{"Retry-After", "0.3"}}, "no room\n", false);
+    static const auto text = http::response(503, {{"Retry-After", kComeAgain}}, "no room\n", false);
     send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     net::shutWriting(fd.get());
     while (recv(fd.get(), nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT) > 0) {
@@ -62,19 +65,28 @@
     acceptor_ = threads::Thread("accept", [this] { accept(); });
 }
 
+// Danger: a request whose last byte is written must be answered, or its connection have been told to end by
+// the answer before. A shut listener resets what stands in its queue, so that is taken first, and served like
+// any other. Clients send on whatever stays open, so those told before that it stays get the time to send
+// once more, and hear then that it ends. What is shut in the end has said nothing since.
 void Front::stop() {
+    std::unique_lock lock(mutex_);
     if (stopping_.exchange(true)) return;
-    if (listener_) net::shut(listener_.get());
+    if (acceptor_.joinable())
+        changed_.wait_for(lock, kQueue, [this] { return !net::waits(listener_.get()); });
+    lock.unlock();
+    net::shut(listener_.get());
     changed_.notify_all();
     acceptor_.join();
     listener_.reset();
-    std::unique_lock lock(mutex_);
+    lock.lock();
     for (auto& c : connections_)
-        if (c.phase == Connection::Phase::idle || c.phase == Connection::Phase::draining) tellToGo(c);
-    changed_.wait_for(lock, milliseconds(300), [this] {
+        if (c.phase == Connection::Phase::draining) tellToGo(c);
+    changed_.wait_for(lock, kLast, [this] {
         return std::all_of(connections_.begin(), connections_.end(),
                            [](const Connection& c) { return c.phase == Connection::Phase::over; });
     });
+    closing_ = true;
     for (auto& c : connections_)
         if (c.phase != Connection::Phase::over) tellToGo(c);
     reap(lock);
@@ -92,16 +104,19 @@
 }
 
 void Front::accept() {
-    while (!stopping_) {
+    for (;;) {
         net::Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
         if (fd) {
             admit(std::move(fd));
+            if (stopping_) changed_.notify_all();
+        } else if (stopping_) {
+            return;
         } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::unique_lock lock(mutex_);
             makeRoom(Worth::all);
             changed_.wait_for(lock, kPause, [this] { return stopping_.load(); });
-        } else if (errno != EINTR && errno != ECONNABORTED && !stopping_) {
+        } else if (errno != EINTR && errno != ECONNABORTED) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::this_thread::sleep_for(kPause);
         }
@@ -122,7 +137,6 @@
     // Danger: clients that ask once and keep their connection add up, and with each goes a thread whose stack
     // stays in memory. Long before room is short, those that have rested make way one by one.
     if (staying < most_ && staying >= most_ / 4) makeRoom(Worth::rested);
-    if (stopping_) return;
     if (!room) {
         lock.unlock();
         return turnAway(fd);
@@ -193,6 +207,8 @@
     const std::lock_guard lock(mutex_);
     connection.phase = phase;
     connection.since = net::Steady::now();
+    // Danger: its last answer may have taken so long that the stop has passed it by.
+    if (phase == Connection::Phase::idle && closing_) tellToGo(connection);
     if (phase == Connection::Phase::over) {
         connection.fd.reset();
         changed_.notify_all();
@@ -208,7 +224,7 @@
     while (next == Next::request) {
         enter(connection, Phase::answering);
         next = answer(fd, parser.message(), came, !toldToGo(connection));
-        if (next != Next::request || stopping_) break;
+        if (next != Next::request) break;
         parser.next();
         enter(connection, Phase::idle);
         next = read(connection, parser, came, false);
@@ -237,7 +253,8 @@
     enter(connection, Connection::Phase::reading);
     const auto refuse = [&](int status, const char* why) {
         enter(connection, Connection::Phase::answering);
-        const auto text = http::response(status, {}, why, false);
+        const http::Fields again{{"Retry-After", kComeAgain}};
+        const auto text = http::response(status, status == 503 ? again : http::Fields{}, why, false);
         return net::sendAll(fd, text, net::Steady::now() + kWrite) == net::Io::done ? Next::drain
                                                                                     : Next::close;
     };
@@ -251,6 +268,10 @@
         std::string bytes;
         const auto io = net::receive(fd, bytes, until);
         if (io == net::Io::timedOut) return refuse(408, "the request took too long\n");
+        // Danger: we ended its reading, and its client may write the last byte just now. It would get no
+        // answer.
+        if (io == net::Io::closed && (first || parser.begun()) && toldToGo(connection))
+            return refuse(503, "no room, or stopping\n");
         if (io != net::Io::done) return Next::close;
         parser.feed(bytes);
     }
@@ -264,9 +285,10 @@
 }
 
 Front::Next Front::answer(int fd, http::Message& request, net::Deadline came, bool stays) {
-    bool keep = stays && request.keepsAlive() && !stopping_;
+    bool keep = stays && request.keepsAlive();
     const auto until = net::Steady::now() + kWrite;
     const auto say = [&](int status, const http::Fields& fields, std::string_view body) {
+        keep = keep && !stopping_;  // asked last: a stop may have come since
         const auto text = http::response(status, fields, request.method == "HEAD" ? "" : body, keep);
         if (net::sendAll(fd, text, until) != net::Io::done) return Next::close;
         return keep ? Next::request : Next::drain;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -58,7 +58,9 @@
     decisions::Decisions& decisions_;
     net::Fd listener_;
     std::size_t most_;
+    /// stopping: answers say that the connection ends. closing: whoever has sent nothing since is shut.
     std::atomic<bool> ready_{false}, stopping_{false};
+    bool closing_ = false;
     std::mutex mutex_;
     std::condition_variable changed_;
     Connections connections_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -141,6 +141,11 @@
     }
 }
 
+bool waits(int listener) {
+    pollfd look{listener, POLLIN, 0};
+    return poll(&look, 1, 0) > 0;
+}
+
 void discard(int fd, std::size_t most, Deadline until) {
     for (std::size_t all = 0; all < most;) {
         if (!limit(fd, SO_RCVTIMEO, until)) return;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -64,6 +64,8 @@
 /// What stands unread on a connection just now.
 enum class Unread { nothing, bytes, end };
 Unread unread(int fd);
+/// True while a listener has a connection that nobody has accepted.
+bool waits(int listener);
 /// True while the other side has neither sent anything unasked nor gone.
 inline bool quiet(int fd) { return unread(fd) == Unread::nothing; }
 /// Reads and drops what comes, at no cost of copying, until the other side ends, the time is up or so many
