Put on record what is heard at a stop, what never left, and classes by their names

At fault: Decisions::report(call) dropped an outcome once stopped: a delivery was repeated by the next life, and what surely never ran was given up. Delivery::attempt() looked at a kept connection after the attempt was on record, and went on to a new connect, of up to a second, with the record saying that the call was out. Calls that no worker had picked counted as out, and a stop waited for them. Mend: outcomes and notices are recorded to the end; the connection is looked at first, and what did not leave is "unsent" on record before the next connect; records name class, tenant and effect, those of the first form are read and written anew at once; a repeat needs both effects to allow it. Missing figures have usable defaults; a class without a name, or with another's, ends at the start.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -13,6 +14,10 @@
 
 using stoathub::Duration;
 
+// What holds where a figure is missing; README lists them.
+constexpr int kSlots = 8, kHeld = 100, kAttempts = 8;
+constexpr std::chrono::seconds kConnect{1}, kKeepAlive{5};
+
 [[noreturn]] void bad(const std::string& what) { throw Bad(what); }
 
 const Json::Value& member(const Json::Value& object, const char* name) {
@@ -40,7 +45,9 @@
     return static_cast<int>(v);
 }
 
-Duration span(const Json::Value& o, const char* name) { return Duration(whole(o, name, 0)); }
+Duration span(const Json::Value& o, const char* name, std::chrono::nanoseconds otherwise = {}) {
+    return Duration(whole(o, name, otherwise.count()));
+}
 
 bool flag(const Json::Value& o, const char* name, bool otherwise) {
     const auto& v = member(o, name);
@@ -81,8 +88,8 @@
     else bad("settings: a class has the unknown effect '" + effect + "'");
     made.keyScope = word(g, "key-scope", "all") == "all" ? stoathub::KeyScope::all : stoathub::KeyScope::zone;
     made.keyWindow = span(g, "key-ttl-ns");
-    made.aim = span(g, "slo-ns");
     made.giveUp = span(g, "give-up-ns");
+    made.aim = span(g, "slo-ns", made.giveUp);
     made.worth = number(g, "credit", 1);
     made.lateShare = number(g, "late-share", 0);
     made.inOrder = flag(g, "in-turn", false);
@@ -98,16 +105,16 @@
     for (Json::ArrayIndex i = 0; i < apart.size(); ++i)
         s.kinds[i].separateRoutes = apart[i].isBool() && apart[i].asBool();
     s.senders = count(p, "balancers", 1, 1);
-    s.slots = count(domain, "max-calls", 1, 1);
+    s.slots = count(domain, "max-calls", kSlots, 1);
     s.decay =
         word(domain, "loses-worth", "even") == "by_half" ? stoathub::Decay::halves : stoathub::Decay::even;
     const auto& limits = member(p, "limits");
-    s.maxHeld = count(limits, "max-open", 1, 1);
-    s.maxAttempts = count(limits, "attempts-cap", 1, 1);
+    s.maxHeld = count(limits, "max-open", kHeld, 1);
+    s.maxAttempts = count(limits, "attempts-cap", kAttempts, 1);
     s.mayCancel = flag(limits, "cancelling", false);
     s.maxAdvice = span(limits, "max-retry-after-ns");
-    s.connectTimeout = span(limits, "connect-timeout-ns");
-    s.keepAlive = span(limits, "keepalive-ns");
+    s.connectTimeout = span(limits, "connect-timeout-ns", kConnect);
+    s.keepAlive = span(limits, "keepalive-ns", kKeepAlive);
     const auto weights = word(p, "weights", "none");
     s.weights = weights == "nominal" ? stoathub::Weights::nominal
                 : weights == "rough" ? stoathub::Weights::rough
@@ -172,6 +179,12 @@
         bad(e.what());
     }
     c.classes = names(list(set, "grades"));
+    // Requests and records tell a class by its name.
+    for (std::size_t i = 0; i < c.classes.size(); ++i)
+        if (c.classes[i].empty() ||
+            std::find(c.classes.begin(), c.classes.begin() + static_cast<std::ptrdiff_t>(i), c.classes[i]) !=
+                c.classes.begin() + static_cast<std::ptrdiff_t>(i))
+            bad("settings: a class has no name, or one that another has");
     c.tenants = names(list(set, "accounts"));
     c.kinds = names(list(set, "kinds"));
     c.zones = names(list(set, "zones"));
@@ -183,12 +196,15 @@
 Shares shares(const Config& config) {
     constexpr std::size_t kAside = 48;
     Shares s;
-    s.calls = std::min<std::size_t>(static_cast<std::size_t>(config.settings.slots), config.sockets / 3);
-    s.idle = std::min(2 * s.calls, config.sockets / 5);
-    const auto taken = kAside + s.calls + s.idle;
+    // Where there are few, each gets a part of what is left.
+    auto left = config.sockets - std::min(kAside, config.sockets / 2);
+    s.calls = std::min({static_cast<std::size_t>(config.settings.slots), config.sockets / 3, left / 2});
+    left -= s.calls;
+    s.idle = std::min({2 * s.calls, config.sockets / 5, left / 2});
+    left -= s.idle;
     // A connection may have a whole body in memory, and a thread: some 100 KB at the most.
     const auto fit = std::max<std::size_t>(16, config.memoryMb * 5);
-    s.clients = std::min(std::max(config.sockets / 4, config.sockets - std::min(config.sockets, taken)), fit);
+    s.clients = std::min(left, fit);
     return s;
 }
 
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -99,6 +99,14 @@
     return it->second.begun = store_.attempt(call.id, wallNow());
 }
 
+void Decisions::neverLeft(const Call& call) {
+    const std::lock_guard lock(mutex_);
+    const auto it = held_.find(call.id);
+    if (it == held_.end() || !it->second.begun || it->second.attempts != call.attempt + 1) return;
+    it->second.begun = false;
+    if (!it->second.over) store_.unsent(call.id);
+}
+
 // ---- report ----
 
 Verdict Decisions::report(const HandIn& message) {
@@ -134,8 +142,9 @@
     record.id = message.id;
     record.key = message.key;
     record.destination = message.destination;
-    record.grade = message.grade;
-    record.tenant = message.tenant;
+    record.grade = config_.classes[message.grade];
+    if (message.tenant < config_.tenants.size()) record.tenant = config_.tenants[message.tenant];
+    record.effect = static_cast<int>(config_.settings.grades[message.grade].effect);
     record.deadline = wallNow() + std::chrono::duration_cast<milliseconds>(message.deadline - now).count();
     record.body = message.body;
     const bool stored = store_.take(record);
@@ -159,17 +168,24 @@
 
 void Decisions::report(const Call& call, const Result& result) {
     const std::lock_guard lock(mutex_);
-    if (stopped_) return;
     const auto it = held_.find(call.id);
     if (it == held_.end() || !it->second.out) return;
     Held& held = it->second;
     --out_;
     held.out = false;
     const bool over = result.over || result.ending == Ending::delivered;
+    // Danger: an answer may be heard in the moment of a stop. Off the record, the next life would repeat what
+    // was delivered, and give up for nothing what surely never ran. What the stop itself called off has no
+    // outcome.
+    const bool unheard = stopped_ && result.ending == Ending::cancelled;
     if (over && !held.over) store_.done(call.id);
-    else if (!held.over && (held.begun || failed(result.ending)))
+    else if (!held.over && !unheard && (held.begun || failed(result.ending)))
         store_.outcome(call.id, mayHaveRun(result.ending), failed(result.ending));
     held.begun = false;
+    if (stopped_) {  // nothing is decided any more
+        if (over || held.over) release(call.id);
+        return;
+    }
     const auto now = Steady::now();
     if (hooks_.answered) hooks_.answered(call, result, now - call.issued);
     if (result.ending == Ending::turnedAway && result.wait.count() > 0) {
@@ -299,7 +315,6 @@
 
 void Decisions::report(const std::vector<std::string>& noticed) {
     const std::lock_guard lock(mutex_);
-    if (stopped_) return;
     for (const auto& id : noticed) store_.noticed(id);
 }
 
@@ -322,10 +337,13 @@
         const milliseconds left(m.deadline - wall);
         // A call that was out when the process ended may have run.
         const bool mayHaveRun = m.out || m.ranAt > 0;
-        Held& held = hold({m.id, m.key, m.destination, m.grade, m.tenant, now + left, m.body});
+        const int grade = position(config_.classes, m.grade, -1);
+        const int tenant = position(config_.tenants, m.tenant, 0);
+        Held& held = hold({m.id, m.key, m.destination, static_cast<std::uint32_t>(grade),
+                           static_cast<std::uint32_t>(tenant), now + left, m.body});
         // Danger: a configuration with fewer classes; the module takes no message of one that it does not
         // know, and nobody would ever end it.
-        if (m.grade >= config_.settings.grades.size()) {
+        if (grade < 0) {
             log::error() << "a message of a class that is no more ends undelivered: " << m.id;
             conclude(m.id, {m.id, mayHaveRun ? store::End::failed : store::End::returned, 0});
             continue;
@@ -336,7 +354,14 @@
         stoathub::Handed handed;
         handed.id = m.id;
         handed.destination = m.destination;
-        handed.grade = static_cast<int>(m.grade);
+        handed.grade = grade;
+        // Danger: its class may have another effect now. It is repeated only if both allow it, and by a key
+        // only if it has one and the configuration still tells for how long, and where, that is known.
+        const auto effect = config_.settings.grades[static_cast<std::size_t>(grade)].effect;
+        handed.least = static_cast<stoathub::Effect>(std::clamp(m.effect, 0, 2));
+        if (std::max(handed.least, effect) == stoathub::Effect::keyed &&
+            (m.key.empty() || effect != stoathub::Effect::keyed))
+            handed.least = stoathub::Effect::unsafe;
         handed.grace = left;
         stoathub::Past past;
         past.attempts = held.attempts;
@@ -400,6 +425,7 @@
         if (const auto* send = std::get_if<stoathub::Send>(&action)) {
             const auto it = held_.find(send->id);
             if (it == held_.end()) continue;  // the module sends only what it holds
+            if (!picking_) continue;          // left to the next start, untried
             Held& held = it->second;
             held.out = true;
             held.cancel = std::stop_source();
@@ -453,13 +479,26 @@
 
 void Decisions::stopPicking() {
     const std::lock_guard lock(mutex_);
-    picking_ = false;
+    dropDue();
     due_.notify_all();
 }
 
+/// Calls that no worker has are none: they are left to the next start, untried.
+void Decisions::dropDue() {
+    picking_ = false;
+    for (const auto& call : calls_) {
+        const auto it = held_.find(call.id);
+        if (it == held_.end()) continue;
+        it->second.out = false;
+        --out_;
+        if (it->second.over) release(call.id);
+    }
+    calls_.clear();
+}
+
 void Decisions::stop() {
     const std::lock_guard lock(mutex_);
-    picking_ = false;
+    dropDue();
     stopped_ = true;
     for (auto& [id, held] : held_)
         if (held.out) held.cancel.request_stop();
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -104,7 +104,10 @@
     bool begin(const Call& call);
 
     Verdict report(const HandIn& message);
+    /// Put on record also once stopped: a later life must know what was heard.
     void report(const Call& call, const Result& result);
+    /// The call that has begun did not leave, and is to begin once more: no attempt has been made yet.
+    void neverLeft(const Call& call);
     void report(const listing::Listing& list, bool saved = false);
     void report(const std::vector<Standing>& standings);
     /// The platform knows these ends.
@@ -173,6 +176,7 @@
     void conclude(const std::string& id, const store::Owed& notice);
     bool holds(const Held& held, const Call& call, Moment now) const;
     void forget(Moment now);
+    void dropDue();
     void wakeAt(Moment at);
 
     const config::Config& config_;
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -119,6 +119,9 @@
         fd.reset();
         // Before the last byte the endpoint has not begun: a warm connection found dead is no failure yet.
         if (!warm || result.ending != Ending::noConnection || call.calledOff.stop_requested()) return result;
+        // Danger: the new connection may take long, and a kill meanwhile would leave an attempt that never
+        // left on record as one that may have run.
+        decisions_.neverLeft(call);
     }
 }
 
@@ -132,11 +135,14 @@
         if (!net::connectBy(fd, address, until))
             return ended(call.calledOff.stop_requested() ? Ending::notSent : Ending::noConnection);
     }
+    // What came meanwhile on a connection that stood idle belongs to an earlier call. Looked at before the
+    // attempt is on record, or one that surely never left would be; and again after, as that may have taken
+    // its time.
+    if (warm && !net::quiet(fd)) return ended(Ending::noConnection);
     if (!decisions_.begin(call)) {
         keep = !call.calledOff.stop_requested();
         return ended(Ending::notSent);
     }
-    // What came meanwhile on a connection that stood idle belongs to an earlier call.
     if (warm && !net::quiet(fd)) return ended(Ending::noConnection);
     const auto left = std::chrono::ceil<milliseconds>(call.until - net::Steady::now()).count();
     http::Fields fields{{"Req-Id", call.id}, {"Req-Deadline-Ms", std::to_string(std::max<long>(left, 1))}};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,7 +40,7 @@
 constexpr const char* kVersion = "laurelhaven 0.1.0";
 // A planned restart kills 3.7 s after SIGTERM. Clients use the connections they have for as long as those
 // stay open, so they stay open nearly to the end, and calls get the rest of the time to finish.
-constexpr milliseconds kServeOn{2600};
+constexpr milliseconds kServeOn{2400};
 constexpr milliseconds kLeastServeOn{600};
 constexpr milliseconds kFinish{3000};
 constexpr milliseconds kLook{20};
@@ -105,7 +105,9 @@
 
     // The list and the journal share the folder, both with the copies that replace them.
     const auto listBytes = own.roster.keep ? kept::share(config.diskBytes, own.roster.diskShare) : 0;
-    store::Journal store(config.state, config.diskBytes - listBytes);
+    store::Positions positions{config.classes, config.tenants, {}};
+    for (const auto& g : config.settings.grades) positions.effects.push_back(static_cast<int>(g.effect));
+    store::Journal store(config.state, config.diskBytes - listBytes, std::move(positions));
     const auto recovered = store.recover();
     decisions::Decisions* facade = nullptr;
     delivery::Delivery* calls = nullptr;
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -25,12 +25,28 @@
 constexpr WallMs kLongAgo = 1;
 constexpr std::uint64_t kStale = 256 * 1024;  // records of what is over, beyond which a fresh file is written
 
-enum Type : char { kTake = 'T', kAttempt = 'A', kOutcome = 'O', kDone = 'D', kEnded = 'E', kNoticed = 'N' };
+enum Type : char {
+    kTakeByPosition = 'T',  // read only
+    kTake = 'M',
+    kAttempt = 'A',
+    kUnsent = 'U',
+    kOutcome = 'O',
+    kDone = 'D',
+    kEnded = 'E',
+    kNoticed = 'N'
+};
+
+template <class T>
+T at(const std::vector<T>& all, std::uint64_t position) {
+    return position < all.size() ? all[position] : T{};
+}
 
 }  // namespace
 
-Journal::Journal(const std::string& folder, std::uint64_t diskBytes)
-    : path_(folder + "/messages.log"), budget_(diskBytes - std::min(diskBytes / 2, kMargin)) {
+Journal::Journal(const std::string& folder, std::uint64_t diskBytes, Positions positions)
+    : path_(folder + "/messages.log"),
+      budget_(diskBytes - std::min(diskBytes / 2, kMargin)),
+      positions_(std::move(positions)) {
     // A copy that was not finished when the process died: the old file still holds everything.
     unlink((path_ + ".new").c_str());
     file_ = net::Fd(open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
@@ -51,6 +67,8 @@
     size_ = good;
     if (ftruncate(file_.get(), static_cast<off_t>(good)) != 0)
         log::error() << "journal: can't cut the torn tail";
+    // What the positions mean holds for this configuration: by the next start they must be names.
+    if (firstForm_) compact();
     Recovered found;
     for (const auto& live : order_) {
         if (live.over) found.notices.push_back(live.notice);
@@ -78,8 +96,9 @@
         .text(m.id)
         .text(m.key)
         .number(m.destination)
-        .number(m.grade)
-        .number(m.tenant)
+        .text(m.grade)
+        .text(m.tenant)
+        .number(m.effect)
         .number(m.deadline)
         .number(m.attempts)
         .number(m.failures)
@@ -117,13 +136,23 @@
     Reader in(payload.substr(1));
     Live live;
     switch (payload[0]) {
+        case kTakeByPosition:
         case kTake: {
             Taken& m = live.message;
             m.id = in.text();
             m.key = in.text();
             m.destination = in.number<std::uint64_t>();
-            m.grade = in.number<std::uint32_t>();
-            m.tenant = in.number<std::uint32_t>();
+            if (payload[0] == kTake) {
+                m.grade = in.text();
+                m.tenant = in.text();
+                m.effect = in.number<int>();
+            } else {
+                const auto grade = in.number<std::uint64_t>();
+                m.grade = at(positions_.grades, grade);
+                m.effect = at(positions_.effects, grade);
+                m.tenant = at(positions_.tenants, in.number<std::uint64_t>());
+                firstForm_ = true;
+            }
             m.deadline = in.number<WallMs>();
             m.attempts = in.number<std::uint32_t>();
             m.failures = in.number<std::uint32_t>();
@@ -150,6 +179,15 @@
             }
             return;
         }
+        case kUnsent: {
+            const auto id = in.text();
+            if (!in.whole()) break;
+            if (const auto it = live_.find(id); it != live_.end() && it->second->message.attempts > 0) {
+                --it->second->message.attempts;
+                it->second->message.out = false;
+            }
+            return;
+        }
         case kOutcome: {
             const auto id = in.text();
             const bool ran = in.number<int>() != 0;
@@ -236,6 +274,7 @@
 bool Journal::attempt(const std::string& id, WallMs at) {
     return append(Writer(kAttempt).text(id).number(at).take());
 }
+void Journal::unsent(const std::string& id) { append(Writer(kUnsent).text(id).take()); }
 void Journal::outcome(const std::string& id, bool mayHaveRun, bool failed) {
     append(Writer(kOutcome).text(id).number(mayHaveRun).number(failed).take());
 }
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -9,20 +9,28 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "net/socket.hpp"
 #include "store/store.hpp"
 
 namespace laurelhaven::store {
 
+/// What records of the first form, which told classes and tenants by their positions, mean by them.
+struct Positions {
+    std::vector<std::string> grades, tenants;
+    std::vector<int> effects;  ///< by class
+};
+
 class Journal : public Store {
   public:
     /// Throws std::system_error where the folder can't be used.
-    Journal(const std::string& folder, std::uint64_t diskBytes);
+    Journal(const std::string& folder, std::uint64_t diskBytes, Positions positions = {});
 
     Recovered recover() override;
     bool take(const Taken& message) override;
     bool attempt(const std::string& id, WallMs at) override;
+    void unsent(const std::string& id) override;
     void outcome(const std::string& id, bool mayHaveRun, bool failed) override;
     void done(const std::string& id) override;
     void ended(const Owed& notice) override;
@@ -50,6 +58,8 @@
 
     std::string path_;
     std::uint64_t budget_;
+    Positions positions_;
+    bool firstForm_ = false;  // such a record was read
     net::Fd file_;
     std::uint64_t size_ = 0;       // of the file
     std::uint64_t liveBytes_ = 0;  // of a fresh file
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -15,7 +15,9 @@
 struct Taken {
     std::string id, key;
     std::uint64_t destination = 0;
-    std::uint32_t grade = 0, tenant = 0;
+    /// By name: a later life may list them in another order. Empty: not known any more.
+    std::string grade, tenant;
+    int effect = 0;  ///< of its class when it was taken: 0 may be repeated, 1 by its key, 2 may not
     WallMs deadline = 0;
     std::shared_ptr<const std::string> body;
     std::uint32_t attempts = 0;
@@ -48,6 +50,8 @@
     virtual bool take(const Taken& message) = 0;
     /// Before the first byte of a call. False: it could not be written, so the call must not go out.
     virtual bool attempt(const std::string& id, WallMs at) = 0;
+    /// The attempt on record never left, and its call goes on: it was none.
+    virtual void unsent(const std::string& id) = 0;
     virtual void outcome(const std::string& id, bool mayHaveRun, bool failed) = 0;
     /// Delivered, over, or refused in its own turn: nothing more is owed.
     virtual void done(const std::string& id) = 0;
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -22,11 +22,12 @@
 
 struct Memory : store::Store {
     std::set<std::string> live, owed;
-    int attempts = 0, outcomes = 0;
+    int attempts = 0, outcomes = 0, unsents = 0;
     bool room = true;
     store::Recovered recover() override { return {}; }
     bool take(const store::Taken& m) override { return room && live.insert(m.id).second; }
     bool attempt(const std::string&, store::WallMs) override { return ++attempts, room; }
+    void unsent(const std::string&) override { ++unsents; }
     void outcome(const std::string&, bool, bool) override { ++outcomes; }
     void done(const std::string& id) override { CHECK(live.erase(id) == 1); }
     void ended(const store::Owed& notice) override {
@@ -209,6 +210,9 @@
     store::Taken m;
     m.id = id;
     m.destination = 7;
+    m.grade = "notice";
+    m.effect = 1;
+    m.key = "k";
     m.deadline = now.count() + within;
     m.attempts = attempts;
     m.out = ranAgo > 0;
@@ -273,7 +277,7 @@
     Rig rig;
     auto ran = left("ran", 9000, 1, 5000), fresh = left("fresh", 9000, 0, 0),
          known = left("known", 9000, 0, 0);
-    ran.grade = fresh.grade = 1;
+    ran.grade = fresh.grade = "gone";
     for (const auto* m : {&ran, &fresh, &known}) rig.memory.live.insert(m->id);
     rig.facade.restore({ran, fresh, known});
     CHECK(rig.ends.size() == 2 && rig.facade.held() == 1);
@@ -281,6 +285,45 @@
     CHECK(rig.ends[1].id == "fresh" && rig.ends[1].end == store::End::returned);
 }
 
+// The classes stand in another order than when these were taken, or have another effect: each is still of its
+// own class, and repeated only if both the effect that it was taken with and that of now allow it.
+void aClassIsKnownByItsNameAndRepeatedIfBothEffectsAllow() {
+    struct Case {
+        const char* grade;
+        int effect;
+        bool ran, key;
+        bool called;  // or failed at once
+    };
+    for (const Case& c : {Case{"alert", 2, true, true, false}, Case{"alert", 2, false, true, true},
+                          Case{"notice", 1, true, true, true}, Case{"notice", 2, true, true, false},
+                          Case{"notice", 0, true, true, true}, Case{"notice", 0, true, false, false},
+                          Case{"alert", 0, true, true, false}, Case{"plain", 0, true, false, true},
+                          Case{"plain", 1, true, true, false}, Case{"plain", 2, true, true, false}}) {
+        auto settings = check::settings(4, kMaxOpen);
+        const std::string begin = R"("grades":[)", span = R"("give-up-ns":28000000000,"slo-ns":4000000000},)";
+        settings.insert(settings.find(begin) + begin.size(),
+                        R"({"name":"alert","effect":"side_effect",)" + span +
+                            R"({"name":"plain","effect":"pure",)" + span);
+        const auto config = config::fromText(
+            check::configuration("127.0.0.1:0", "127.0.0.1:1", check::entry("a", "127.0.0.1:9", 7), settings),
+            {{"BALANCER_STATE", "/tmp"}});
+        Memory memory;
+        std::vector<store::Owed> ends;
+        decisions::Decisions facade(config, memory, {[&](const store::Owed& e) { ends.push_back(e); }, {}});
+        facade.report(config.known, true);
+        auto m = left("m", 9000, c.ran ? 1 : 0, c.ran ? 1000 : 0);
+        m.grade = c.grade;
+        m.effect = c.effect;
+        if (!c.key) m.key.clear();
+        memory.live.insert("m");
+        facade.restore({m});
+        while (ends.empty() && facade.out() == 0) CHECK(facade.tick());
+        CHECK(ends.empty() == c.called && (facade.out() == 1) == c.called);
+        CHECK(c.called || ends[0].end == store::End::failed);
+        facade.stop();
+    }
+}
+
 // A wait that outlasts the message: its end comes at once, with the wait, and not near its deadline.
 void whatIsGivenUpIsAnsweredAtOnce() {
     Rig rig;
@@ -323,6 +366,7 @@
     failuresThatWereKnownDoNotCountTwice();
     aRepeatThatMissedItsWindowDoesNotBegin();
     aClassThatIsNoMoreEndsItsMessages();
+    aClassIsKnownByItsNameAndRepeatedIfBothEffectsAllow();
     whatIsGivenUpIsAnsweredAtOnce();
     stoppingLeavesTheRestToTheStore();
 }
--- a/tests/laurelhaven/journal_test.cpp
+++ b/tests/laurelhaven/journal_test.cpp
@@ -7,6 +7,7 @@
 
 #include "check.hpp"
 #include "log/log.hpp"
+#include "store/frame.hpp"
 
 using namespace laurelhaven::store;
 
@@ -102,6 +103,72 @@
     });
 }
 
+/// A record of the first form, as an earlier version wrote it: classes and tenants by their positions.
+std::string byPosition(const std::string& id, int grade, int tenant) {
+    const auto payload = Writer('T')
+                             .text(id)
+                             .text("key-" + id)
+                             .number(7)
+                             .number(grade)
+                             .number(tenant)
+                             .number(1234567)
+                             .number(1)
+                             .number(0)
+                             .number(true)
+                             .number(0)
+                             .number(100)
+                             .text("body")
+                             .take();
+    return framed("LHR1", payload);
+}
+
+// Records name classes and tenants; those of the first form mean what the configuration says of their
+// positions at the first start that reads them, and say so by name from then on.
+void classesAndTenantsAreKeptByName() {
+    const check::Folder folder;
+    spill(folder.path + "/messages.log", byPosition("old", 1, 1) + byPosition("beyond", 9, 9));
+    {
+        Journal journal(folder.path, kDisk, {{"a", "b"}, {"s", "t"}, {0, 2}});
+        const auto found = journal.recover();
+        CHECK(found.messages.size() == 2 && found.messages[0].grade == "b" &&
+              found.messages[0].tenant == "t");
+        CHECK(found.messages[0].effect == 2 && found.messages[0].out && found.messages[0].attempts == 1);
+        CHECK(found.messages[1].grade.empty());
+        auto fresh = message("new");
+        fresh.grade = "b", fresh.tenant = "s", fresh.effect = 2;
+        CHECK(journal.take(fresh));
+    }
+    // They stand in another order now.
+    const auto found = Journal(folder.path, kDisk, {{"b", "a"}, {"t", "s"}, {1, 0}}).recover();
+    CHECK(found.messages.size() == 3 && found.messages[0].grade == "b" && found.messages[0].tenant == "t");
+    CHECK(found.messages[0].effect == 2 && found.messages[2].grade == "b" && found.messages[2].tenant == "s");
+    CHECK(found.messages[2].effect == 2 && found.messages[1].grade.empty());
+}
+
+// An attempt that never left is none, over any number of lives; one that was out before it stays one that may
+// have run.
+void anAttemptThatNeverLeftIsNone() {
+    const check::Folder folder;
+    {
+        Journal journal(folder.path, kDisk);
+        journal.recover();
+        CHECK(journal.take(message("m")) && journal.take(message("ran")));
+        CHECK(journal.attempt("m", 100));
+        journal.unsent("m");
+        journal.unsent("m");  // nothing is left to take back
+        CHECK(journal.attempt("ran", 100));
+    }
+    {
+        Journal journal(folder.path, kDisk);
+        const auto found = journal.recover();
+        CHECK(found.messages[0].attempts == 0 && !found.messages[0].out && found.messages[0].ranAt == 0);
+        CHECK(journal.attempt("ran", 200));
+        journal.unsent("ran");
+    }
+    const auto found = Journal(folder.path, kDisk).recover();
+    CHECK(found.messages[1].attempts == 1 && !found.messages[1].out && found.messages[1].ranAt == 100);
+}
+
 // A process may be killed at any byte: whatever was written whole is there, and the tail is dropped.
 void everyTornTailIsDropped() {
     const check::Folder folder;
@@ -220,6 +287,8 @@
     laurelhaven::log::setLevel(laurelhaven::log::Level::off);
     everythingOwedComesBack();
     whatWasOutAtAKillMayHaveRunInEveryLaterLife();
+    classesAndTenantsAreKeptByName();
+    anAttemptThatNeverLeftIsNone();
     everyTornTailIsDropped();
     budgetIsKept();
     damageLeavesDoubt();
--- a/tests/laurelhaven/no_store.hpp
+++ b/tests/laurelhaven/no_store.hpp
@@ -11,6 +11,7 @@
     laurelhaven::store::Recovered recover() override { return {}; }
     bool take(const laurelhaven::store::Taken&) override { return true; }
     bool attempt(const std::string&, laurelhaven::store::WallMs) override { return true; }
+    void unsent(const std::string&) override {}
     void outcome(const std::string&, bool, bool) override {}
     void done(const std::string&) override {}
     void ended(const laurelhaven::store::Owed&) override {}
--- a/tests/laurelhaven/parser_test.cpp
+++ b/tests/laurelhaven/parser_test.cpp
@@ -147,9 +147,56 @@
         CHECK(lines.gap() && heard.size() == 4 && heard[3].index == 45);
         lines.feed(check::garbage(chance, change) + "\n" + std::string(round, '[') + "\n", keep);
     }
-    registry::Lines deep;
-    deep.feed(std::string(100000, '[') + "\n", [](const listing::Listing&) { CHECK(false); });
-    CHECK(deep.gap());
+    for (const char bracket : {'[', '{'}) {
+        registry::Lines deep;
+        deep.feed(std::string(100000, bracket) + "\n", [](const listing::Listing&) { CHECK(false); });
+        CHECK(deep.gap());
+    }
+}
+
+// A list may be indented over several lines, in whatever way. One that is cut off is skipped, and swallows
+// nothing of what comes after it; bytes that end nothing are no sign of life.
+void registryListsOverSeveralLines() {
+    check::Chance chance(8);
+    const auto change = check::list(43, false, check::entry("a{[\\\"", "127.0.0.1:80", 3, "DRAINING"));
+    const auto wide = [&](const std::string& indent) {
+        std::string text;
+        bool quoted = false;
+        for (std::size_t i = 0; i < change.size(); ++i) {
+            const char c = change[i];
+            if (quoted && c == '\\') {
+                text += change.substr(i++, 2);
+                continue;
+            }
+            if (c == '"') quoted = !quoted;
+            if (!quoted && (c == '}' || c == ']')) text += "\r\n" + indent;
+            text += c;
+            if (!quoted && (c == '{' || c == '[' || c == ',')) text += "\n" + indent;
+        }
+        return text + "\n";
+    };
+    for (int round = 0; round < 300; ++round) {
+        registry::Lines lines;
+        std::vector<listing::Listing> heard;
+        int beats = 0;
+        const auto keep = [&](const listing::Listing& list) { heard.push_back(list); };
+        check::inCuts(wide("") + "\n" + wide("  ") + change + "\n" + wide("\t") + "\r\n", chance,
+                      [&](std::string_view part) {
+                          const auto before = heard.size() + static_cast<std::size_t>(beats);
+                          const bool ended = lines.feed(part, keep, [&] { ++beats; });
+                          CHECK(ended == (heard.size() + static_cast<std::size_t>(beats) > before));
+                      });
+        CHECK(heard.size() == 4 && beats == 2 && !lines.gap());
+        for (const auto& list : heard) CHECK(list.endpoints.at(0).name == "a{[\"");
+        // Cut anywhere, then a beat or another list, of either form.
+        const auto whole = wide("  ");
+        const auto cut = whole.substr(0, 1 + check::below(chance, whole.size() - 3));
+        lines.feed(cut + "\n" + (round % 2 ? "\n" : "") + change + "\n" + wide(" "), keep);
+        CHECK(lines.gap() && heard.size() >= 5 && heard.back().index == 43);
+        if (round % 2) CHECK(heard.size() == 6);
+        lines.feed("\n" + check::list(44, true, "") + "\n", keep);
+        CHECK(!lines.gap());
+    }
 }
 
 void answersMeanWhatTheTableSays() {
@@ -231,6 +278,38 @@
     CHECK(refused("token", "tokens") && refused("8c1f", "xyzw") && refused("{", "") &&
           refused("SERVING", "UP"));
     CHECK(refused("\"max-open\":6", "\"max-open\":0") && refused("\"settings\"", "\"set\""));
+    // What can't be served: no classes, two of one name, none, or times that make no sense.
+    CHECK(
+        refused(check::settings().substr(1, check::settings().find(R"(,"accounts")") - 1), R"("grades":[])"));
+    const std::string notice = R"({"name":"notice",)";
+    CHECK(refused(notice, notice + R"("effect":"pure","give-up-ns":9},)" + notice) && refused(notice, "{"));
+    CHECK(refused("28000000000", "-1") && refused("\"slo-ns\":4000000000", "\"slo-ns\":0") &&
+          refused("\"keepalive-ns\":5000000000", "\"keepalive-ns\":-5"));
+    CHECK(refused("\"cold-from\":0.19", "\"cold-from\":19") && refused("15000000000", "1.5"));
+    // Unknown keys are passed over, and what is missing has its default.
+    std::string text = good;
+    for (const char* gone :
+         {R"("max-calls":4,)", R"("attempts-cap":8,)", R"("connect-timeout-ns":1000000000,)",
+          R"("keepalive-ns":5000000000,)", R"("max-open":6,)", R"("slo-ns":4000000000,)"})
+        text.replace(text.find(gone), std::string_view(gone).size(), R"("unheard-of":{"x":[1]},)");
+    const auto usual = config::fromText(text, environment).settings;
+    CHECK(usual.slots == 8 && usual.maxAttempts == 8 && usual.maxHeld == 100);
+    CHECK(usual.connectTimeout == std::chrono::seconds(1) && usual.keepAlive == std::chrono::seconds(5));
+    CHECK(usual.grades[0].aim == usual.grades[0].giveUp);
+    // No more descriptors are dealt out than there are, and as many as there were on the platform's machines.
+    for (std::size_t sockets = 32; sockets <= 1024; sockets += 16)
+        for (const int slots : {1, 4, 30, 400}) {
+            auto c =
+                config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "",
+                                                      check::settings(slots, 6), static_cast<int>(sockets)),
+                                 environment);
+            const auto shares = config::shares(c);
+            CHECK(std::min<std::size_t>(48, sockets / 2) + shares.calls + shares.idle + shares.clients <=
+                  sockets);
+            CHECK(shares.calls > 0 && shares.idle > 0 && shares.clients > 0);
+            CHECK(sockets < 256 ||
+                  shares.calls == std::min<std::size_t>(static_cast<std::size_t>(slots), sockets / 3));
+        }
     check::Chance chance(4);
     for (int round = 0; round < 3000; ++round) {
         try {
@@ -249,6 +328,7 @@
     limitsAreKept();
     answersAreReadKindly();
     registryLinesInCutsAndGarbage();
+    registryListsOverSeveralLines();
     answersMeanWhatTheTableSays();
     badHandInsAreDenied();
     whatCameWholeIsAnswered();
