Give the listener's queue 400 ms at a stop, as a busy core needs more than 100

Seen: whatStandsInTheQueueIsAnswered failed once under ThreadSanitizer on a machine with three other loads ("race_test.cpp:226: not so: status == 202"): the acceptor had not taken 30 connections in 100 ms, and the rest was reset. At fault: kQueue in src/front/front.cpp. With the 300 ms for a last request a stop stays within 3.5 s.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds kRead{2000};
 constexpr milliseconds kWrite{1000};
 constexpr milliseconds kIdle{10000};
-constexpr milliseconds kQueue{100};  // for what a listener has in its queue at a stop
+constexpr milliseconds kQueue{400};  // for what a listener has in its queue at a stop
 constexpr milliseconds kLast{300};   // for a last request, or the rest of one, at a stop
 constexpr milliseconds kPause{20};   // between tries where no descriptor or thread is to be had
 // After the last answer, so long and so much is dropped: a close with bytes unread would reset it away.
