--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -191,12 +191,13 @@
     }
     ~Sender() { facade.stop(); }
     net::Fd client() const {
-        return net::connectTo(*net::address(local(front.port())), soon(), [](int) {});
+        return net::connectTo(*net::address(local(port)), soon(), [](int) {});
     }
     config::Config config;
     NoStore store;
     decisions::Decisions facade;
     front::Front front;
+    const int port = front.port();  // asked before a stop gives it up
 };
 
 /// One answer's status, and whether it says that the connection stays; 0 where the connection ends first.
