Let what a restart finds untried go first until it has been tried

At fault: pump() in src/brain.cpp orders by what waiting costs. What waited through a restart is past its aim, so each fresh message costs more, and a steady load passes it by until three seconds before its deadline. Mend: until it has been called, what was found untried goes before the rest; pace, waits, windows and slots hold as ever. Tests, red on the program as found: Restart.WhatNeverLeftGoesBeforeFreshMessages ("actual: 0 vs 1" for nineteen of twenty), laurelhaven_restart passed-by ("6 of 24 given up untried"), a real sender with newcomers on real connections. WhatHasBeenTriedGoesFirstNoMore is red where the mark is never taken off.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -238,6 +238,7 @@
     bool mayHaveRun = false;
     Sec keyedFrom = 0;  // first send that may have run
     int keyedZone = 0;
+    bool found = false;  // untried when an earlier life ended, and since
     bool ended = false;  // answered; kept until its attempt has its outcome
     bool calledOff = false;
     std::uint64_t call = 0;  // the call that it is out in, or 0
@@ -321,6 +322,7 @@
     // first call. The zone of an earlier attempt is no longer known.
     void resume(Message& m, const Past& past) {
         m.attempts = past.attempts;
+        m.found = past.attempts == 0;
         m.mayHaveRun = past.mayHaveRun;
         m.keyedFrom = t_ - seconds(past.sinceRan);
         m.keyedZone = -1;
@@ -445,6 +447,7 @@
         }
         hangUp(m);
         if (o.result != Result::moot) m.paid = 0;
+        if (ran || o.result == Result::full) m.found = false;
         observe(target, o, kept);
         if (ran && !m.mayHaveRun) {
             m.mayHaveRun = true;
@@ -828,9 +831,13 @@
         return (worth(m, t_ + takes) - worth(m, t_ + takes + kHorizon)) / takes;
     }
 
+    // Danger: what waited through a restart is mostly past its aim, and a steady load of fresh messages, each
+    // worth more, would pass it by until its deadline. Its client can't hand it in again, so it goes first
+    // until it has been tried. It may hurt the fresh ones, for as long as that lasts.
     void pump() {
         struct Ready {
             std::uint64_t seq;
+            bool found;
             double gain;
             Sec aimAt;
         };
@@ -838,13 +845,14 @@
         for (const auto& [seq, m] : messages_) {
             if (m.ended || m.out()) continue;
             if (t_ < m.notBefore) lookAt(m.notBefore);
-            else ready.push_back({seq, gain(m), m.aimAt});
+            else ready.push_back({seq, m.found, gain(m), m.aimAt});
         }
         std::stable_sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+            if (a.found != b.found) return a.found;
             return a.gain != b.gain ? a.gain > b.gain : a.aimAt < b.aimAt;
         });
         starved_ = false;
-        for (const auto& [seq, gain, aimAt] : ready) {
+        for (const auto& [seq, found, gain, aimAt] : ready) {
             Message& m = messages_.at(seq);
             if (m.price > 0) {
                 if (!m.place->bucket.pay(m.price, t_)) {
@@ -1031,7 +1039,7 @@
     std::map<OrderKey, Turns> turns_;
     std::vector<Owner*> hushed_;  // owners with silent calls
     double failed_[2] = {0, 0};  // smoothed shares of calls without an answer, on new and on kept connections
-    bool reports_ = false;  // an answer has told of a limit, or that there is none
+    bool reports_ = false;       // an answer has told of a limit, or that there is none
     Sec droppedUntil_ = 0;
     std::map<int, Sec> scarceUntil_;        // by kind: its endpoints take few connections
     std::map<EndpointId, Endpoint> later_;  // ids that stand for another destination once their calls end
--- a/tests/laurelhaven/restart_test.cpp
+++ b/tests/laurelhaven/restart_test.cpp
@@ -31,6 +31,7 @@
     int refusals = 0;        ///< calls turned away at first, with a short wait
     int weight = 50;         ///< calls a second
     int fleet = 2;           ///< senders
+    bool newcomers = false;  ///< more of them than the partner takes, each worth more than what was found
 };
 
 std::string weighed(std::string entries, int weight) {
@@ -39,8 +40,12 @@
 }
 std::string fitted(int heldMost, int fleet) {
     auto text = settings(12, heldMost);
-    const std::string few = R"("balancers":2)";
-    return text.replace(text.find(few), few.size(), R"("balancers":)" + std::to_string(fleet));
+    const auto set = [&](const std::string& from, const std::string& to) {
+        text.replace(text.find(from), from.size(), to);
+    };
+    set(R"("balancers":2)", R"("balancers":)" + std::to_string(fleet));
+    set(R"("loses-worth":"even")", R"("loses-worth":"by_half")");
+    return text;
 }
 
 void untriedIsTried(const Find& find) {
@@ -122,6 +127,14 @@
     program.start();
     if (find.heldMost < find.messages)  // newcomers are turned away meanwhile, and nothing of what is held is
         CHECK(program.status(handIn("more", 24000)) != 0);
+    std::jthread newcomers;
+    if (find.newcomers)
+        newcomers = std::jthread([&](const std::stop_token& over) {
+            for (int i = 0; !over.stop_requested(); ++i) {
+                program.status(handIn("new" + std::to_string(i), 24000));
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        });
     await([&] {
         const std::lock_guard lock(mutex);
         std::size_t seen = 0;
@@ -133,6 +146,7 @@
         }
         return seen == taken.size();
     });
+    newcomers = {};
     const std::lock_guard lock(mutex);
     std::size_t untried = 0;
     for (const auto& id : taken) untried += called.count(id) == 0;
@@ -158,6 +172,7 @@
         {.name = "known-as-down", .before = 4},
         {.name = "limited", .refusals = 6},
         {.name = "more-than-the-pace", .messages = 12, .weight = 3},
+        {.name = "passed-by", .weight = 6, .newcomers = true},
         {.name = "one-of-many", .signal = SIGTERM, .messages = 4, .weight = 300, .fleet = 100},
     };
     for (const auto& find : all)  // one by its name, or all
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -1070,6 +1070,49 @@
     EXPECT_TRUE(rig.refused.empty() && rig.failed.empty());
 }
 
+// A steady load of fresh messages, each worth more and more of them than the partner takes: what waited
+// through a restart goes first all the same, one that could not connect included, until it has been tried.
+TEST(Restart, WhatNeverLeftGoesBeforeFreshMessages) {
+    auto settings = plain();
+    settings.weights = Weights::nominal;
+    settings.decay = Decay::halves;
+    settings.slots = 40;
+    Rig rig(settings, 0);
+    rig.turn({ListNews{ListKind::whole, {{"e0", 1, 0, 0, EndpointState::inService, 5}}}});
+    constexpr int kFound = 20;
+    std::vector<Event> backlog;
+    for (int i = 0; i < kFound; ++i)
+        backlog.push_back(Handed{"m" + std::to_string(i), 1, 0, seconds(6), {}, Past{}});
+    rig.turn(backlog);
+    rig.answer("m0", Result::connectFailed);
+    std::size_t answered = 1;
+    for (int i = 0; i < 60; ++i) {
+        rig.hand("fresh" + std::to_string(i), 0);
+        rig.run(milliseconds(100));
+        for (; answered < rig.sent.size(); ++answered) rig.answer(rig.sent[answered].id, Result::delivered);
+    }
+    for (int i = 0; i < kFound; ++i) EXPECT_GE(rig.count("m" + std::to_string(i)), i == 0 ? 2 : 1) << i;
+    EXPECT_GE(rig.sent.size(), kFound + 5u);  // and then the fresh ones have their turn
+    EXPECT_TRUE(rig.refused.count("m1") == 0 && rig.failed.empty());
+}
+
+// What was called and failed has had its turn: it waits its backoff, and is worth what it is worth.
+TEST(Restart, WhatHasBeenTriedGoesFirstNoMore) {
+    auto settings = plain();
+    settings.decay = Decay::halves;
+    settings.slots = 1;
+    Rig rig(settings);
+    rig.turn({Handed{"old", 1, 0, seconds(5), {}, Past{}}});
+    rig.hand("fresh", 0);
+    ASSERT_EQ(rig.sent.size(), 1u);
+    rig.answer("old", Result::error);
+    ASSERT_EQ(rig.sent.back().id, "fresh");  // during its backoff
+    rig.run(seconds(1));
+    rig.hand("fresher", 0);
+    rig.answer("fresh", Result::delivered);
+    EXPECT_EQ(rig.sent.back().id, "fresher");
+}
+
 TEST(Restart, WhatWasColdOrDownStaysSo) {
     const auto sentInTwoSeconds = [](std::optional<Standing> standing) {
         auto settings = plain();
