Hold signals from the program's first line on, so that no reload ends a sender that starts

At fault, by reading: serve() blocked its signals only after the command line and our own settings had been read. A reload sent to all senders at once in that moment, as after a restart, ended the process (SIGHUP's default), a failed start. Ruled out: later moments, which tests had already (a watch that opens, a notice on its way, a stop). Mend: main() blocks them before anything else where the word is serve; the other words end by a signal as ever. What is read after that is at least as new as what the signal tells of, so nothing is lost by its waiting. Test, red on the program as found (it never got ready: "program.hpp:39: not so: net::Steady::now() < until"): aReloadInTheFirstMoment, whose settings are a pipe, so that the program stands there until the signal is out.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -83,11 +83,15 @@
     return false;
 }
 
-int serve(settings::Settings own) {
-    // Before the configuration is read and any thread begins: none of these signals ends the program, and all
-    // threads leave them to this one.
+/// Danger: a reload sent to all senders may come in the first moment of one that was just restarted, and
+/// would end it. So from the program's first line on none of these signals does: they wait for their turn,
+/// and what is read after them is what they tell of. All threads leave them to the first.
+void holdSignals() {
     const auto set = ourSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+int serve(settings::Settings own) {
     signal(SIGPIPE, SIG_IGN);
     signal(SIGXFSZ, SIG_IGN);  // a file at its limit is a full disk, not an end
     // Danger: with an arena for each of many threads, memory that one has freed is of no use to the next, and
@@ -376,6 +380,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    // The other words end by a signal as any program does.
+    if (std::any_of(argv, argv + argc, [](std::string_view word) { return word == "serve"; })) holdSignals();
     try {
         return run(argc, argv);
     } catch (const settings::Bad& e) {
--- a/tests/laurelhaven/program.hpp
+++ b/tests/laurelhaven/program.hpp
@@ -133,7 +133,8 @@
     ~Program() {
         if (pid_ > 0) end(SIGKILL);
     }
-    void start() {
+    /// `begun` is told its process before that is ready.
+    void start(const std::function<void(pid_t)>& begun = {}) {
         // An environment of its own: several of these may start side by side.
         std::vector<std::string> variables{"BALANCER_CONFIG=" + folder_ + "/config.json",
                                            "BALANCER_STATE=" + folder_ + "/state"};
@@ -151,6 +152,7 @@
         for (int fd = 0; fd < 3; ++fd) posix_spawn_file_actions_addopen(&files, fd, "/dev/null", O_RDWR, 0);
         CHECK(posix_spawn(&pid_, program, &files, nullptr, words, environment.data()) == 0);
         posix_spawn_file_actions_destroy(&files);
+        if (begun) begun(pid_);
         await([this] { return status("GET /health/ready HTTP/1.1\r\n\r\n") == 200; });
     }
     void configure(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <netinet/tcp.h>
+#include <sys/stat.h>
 
 #include <condition_variable>
 #include <future>
@@ -223,6 +224,32 @@
     CHECK(program.end(SIGHUP) == 0);  // a move during the stop changes nothing about it
 }
 
+// A reload comes before the program has read anything: it starts all the same, and knows the new place. Its
+// settings are a pipe, so it waits just there until the signal is out.
+void aReloadInTheFirstMoment() {
+    const Folder folder;
+    Platform platform, unused;
+    platform.watch = "\n";
+    Program program(folder.path, unused, entry("a", "127.0.0.1:1", 7));
+    program.end(SIGKILL);
+    const auto settings = folder.path + "/settings.yaml";
+    CHECK(mkfifo(settings.c_str(), 0600) == 0);
+    program.start([&](pid_t pid) {
+        net::Fd pipe;
+        await([&] {
+            pipe = net::Fd(open(settings.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC));
+            return static_cast<bool>(pipe);
+        });
+        program.configure(
+            configuration(local(program.port()), platform.stub.at(), entry("a", "127.0.0.1:1", 7)));
+        CHECK(kill(pid, SIGHUP) == 0);
+        const std::string text = "log:\n  level: \"off\"\n";
+        CHECK(write(pipe.get(), text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    });
+    await([&] { return platform.asked > 0; });
+    CHECK(program.end(SIGTERM) == 0);
+}
+
 // ---- the front at a stop ----
 
 struct Sender {
@@ -639,6 +666,7 @@
         {"indentedListsAreHeard", indentedListsAreHeard},
         {"aSilentWatchIsOpenAnewInTime", aSilentWatchIsOpenAnewInTime},
         {"aMoveWhileAWatchOpensAndANoticeIsOnItsWay", aMoveWhileAWatchOpensAndANoticeIsOnItsWay},
+        {"aReloadInTheFirstMoment", aReloadInTheFirstMoment},
         {"whatStandsInTheQueueIsAnswered", whatStandsInTheQueueIsAnswered},
         {"whoIsToldThatItStaysIsAnsweredOnceMore", whoIsToldThatItStaysIsAnsweredOnceMore},
         {"aRequestHalfReadAtAStopIsAnswered", aRequestHalfReadAtAStopIsAnswered},
