Take a listener's queue at a stop though an accept fails meanwhile

At fault, by reading: Front::accept() left at any error once a stop had begun, also where no descriptor was to be had for a moment. What stood in the queue was then reset with no answer. Mend: it leaves once the listener is shut, which a stop does after the queue is empty or 400 ms are over; before that a failed accept makes room, pauses 20 ms and goes on.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -75,6 +75,7 @@
     if (acceptor_.joinable())
         changed_.wait_for(lock, kQueue, [this] { return !net::waits(listener_.get()); });
     lock.unlock();
+    deaf_ = true;
     net::shut(listener_.get());
     changed_.notify_all();
     acceptor_.join();
@@ -109,13 +110,13 @@
         if (fd) {
             admit(std::move(fd));
             if (stopping_) changed_.notify_all();
-        } else if (stopping_) {
+        } else if (deaf_) {  // and no sooner: a stop takes what stands in the queue first
             return;
         } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::unique_lock lock(mutex_);
             makeRoom(Worth::all);
-            changed_.wait_for(lock, kPause, [this] { return stopping_.load(); });
+            changed_.wait_for(lock, kPause, [this] { return deaf_.load(); });
         } else if (errno != EINTR && errno != ECONNABORTED) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::this_thread::sleep_for(kPause);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -58,8 +58,9 @@
     decisions::Decisions& decisions_;
     net::Fd listener_;
     std::size_t most_;
-    /// stopping: answers say that the connection ends. closing: whoever has sent nothing since is shut.
-    std::atomic<bool> ready_{false}, stopping_{false};
+    /// stopping: answers say that the connection ends. deaf: nobody is let in any more. closing: whoever has
+    /// sent nothing since is shut.
+    std::atomic<bool> ready_{false}, stopping_{false}, deaf_{false};
     bool closing_ = false;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -29,9 +29,22 @@
 std::mutex beforeConnectMutex;
 std::map<int, std::function<void()>> beforeConnect;
 
+/// What is to happen once just before the next connection is waited for, which then fails with this error.
+std::function<void()> beforeAccept;
+std::atomic<int> acceptFails{0};
+
 }  // namespace
 
 // In place of the C library's, for this program alone.
+extern "C" int accept4(int fd, sockaddr* from, socklen_t* size, int flags) {
+    static const auto real = reinterpret_cast<decltype(&accept4)>(dlsym(RTLD_NEXT, "accept4"));
+    if (const int error = acceptFails.exchange(0)) {
+        std::exchange(beforeAccept, {})();
+        errno = error;
+        return -1;
+    }
+    return real(fd, from, size, flags);
+}
 extern "C" int connect(int fd, const sockaddr* to, socklen_t size) {
     static const auto real = reinterpret_cast<decltype(&connect)>(dlsym(RTLD_NEXT, "connect"));
     std::function<void()> first;
@@ -310,6 +323,35 @@
     }
 }
 
+// No descriptor is to be had just when a stop has begun: the queue is taken all the same, once one is.
+void theQueueIsTakenThoughAnAcceptFails() {
+    Sender sender;
+    sender.front.start();
+    const auto idle = sender.client();
+    say(idle, handIn("first"));
+    CHECK(heard(idle) == std::make_pair(202, true));
+    net::Fd last;
+    std::thread stopper;
+    std::promise<void> begun;
+    beforeAccept = [&] {
+        last = sender.client();
+        say(last, handIn("last"));
+        stopper = std::thread([&] { sender.front.stop(); });
+        for (int i = 0;; ++i) {  // the stop has begun once answers say that the connection ends
+            say(idle, handIn("m" + std::to_string(i)));
+            const auto [status, stays] = heard(idle);
+            CHECK(status != 0);
+            if (!stays) break;
+        }
+        begun.set_value();
+    };
+    acceptFails = EMFILE;
+    const auto next = sender.client();  // it is let in, and the one after it is waited for
+    begun.get_future().wait();
+    CHECK(heard(last) == std::make_pair(202, false));
+    stopper.join();
+}
+
 // A stop comes between the decision on a message and its answer, and between an answer that says that the
 // connection stays and the look for the next request: that request is answered, and told that it was the
 // last.
@@ -668,6 +710,7 @@
         {"aMoveWhileAWatchOpensAndANoticeIsOnItsWay", aMoveWhileAWatchOpensAndANoticeIsOnItsWay},
         {"aReloadInTheFirstMoment", aReloadInTheFirstMoment},
         {"whatStandsInTheQueueIsAnswered", whatStandsInTheQueueIsAnswered},
+        {"theQueueIsTakenThoughAnAcceptFails", theQueueIsTakenThoughAnAcceptFails},
         {"whoIsToldThatItStaysIsAnsweredOnceMore", whoIsToldThatItStaysIsAnsweredOnceMore},
         {"aRequestHalfReadAtAStopIsAnswered", aRequestHalfReadAtAStopIsAnswered},
         {"clientsSendOnUntilTheEnd", clientsSendOnUntilTheEnd},
