Ask anew after a lost watch within the drain grace that the settings tell

At fault, by reading the constants: registry.cpp waited up to 150 ms before the first call after a lost watch, "within the least drain grace of a site". That was 250 ms; another customer's is 150 (two-zones) or less, and what is told meanwhile counts although no watch is open: a call within the pause would break the rule on drains. The grace was read by no code. Mend: the pause is at most three fifths of safety.drain-grace-ns (250 ms where it is missing), 150 ms at most as before, so nothing changes at 250 ms; 20 ms at least, or a stream that ends at once would be asked for without a pause. Tests: RegistryPause.TheFirstCallGoesOutWithinAnyDrainGrace, red without it ("actual: 149ms vs 48ms"), and TheGraceComesFromThePlatformsSettings.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -172,6 +172,9 @@
     if (!set.isObject()) bad("the settings are missing");
     c.settings = settings(set);
     c.mayProbe = flag(member(set, "limits"), "may-probe", false);
+    const auto grace = span(member(set, "safety"), "drain-grace-ns", c.drainGrace);
+    if (grace < Duration{}) bad("settings: 'drain-grace-ns' is out of range");
+    c.drainGrace = std::chrono::duration_cast<std::chrono::milliseconds>(grace);
     c.settingsText = set.toStyledString();
     try {
         stoathub::Sender(c.settings, 0);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -27,7 +27,8 @@
     std::uint64_t diskBytes = 0;
     listing::Listing known;
     stoathub::Settings settings;
-    bool mayProbe = false;                                    ///< endpoints answer probes
+    bool mayProbe = false;                      ///< endpoints answer probes
+    std::chrono::milliseconds drainGrace{250};  ///< after which nothing goes to an endpoint told to drain
     std::vector<std::string> classes, tenants, kinds, zones;  ///< names, by position
     std::string limitsText, settingsText;                     ///< as the file has them, to compare
 };
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -16,9 +16,8 @@
 constexpr milliseconds kConnect{1000};
 constexpr int kDeepest = 16;            // brackets in brackets: a list has four
 constexpr milliseconds kSilence{3500};  // an empty line comes every 2 s; news counts as told 6 s late at most
-// What the machine was told counts without a watch too, so the first call after a lost one goes out well
-// within the least drain grace of a site, in a fleet of any size.
-constexpr milliseconds kUntold{100};
+constexpr milliseconds kUntold{100};    // over which the first calls after a lost watch spread at most
+constexpr milliseconds kLeastSoon{20};  // however short a drain grace, a stream that ends at once is no spin
 constexpr milliseconds kLongest{40000};  // the longest span after refusals,
 constexpr int kMostRounds = 8;           // or so many of the whole fleet
 
@@ -40,7 +39,15 @@
     auto span = std::max(options.pauseLeast, refused ? round : std::min(round, kUntold));
     for (int i = 0; i < failures && span < most; ++i) span *= 2;
     span = std::min(span, most);
-    return options.pauseLeast + milliseconds(static_cast<std::int64_t>(chance * span.count()));
+    auto least = options.pauseLeast;
+    if (failures == 0 && !refused) {
+        // Danger: what the machine was told counts without a watch too. The first call after a lost one goes
+        // out well within the drain grace, in a fleet of any size.
+        const auto soon = std::max(3 * options.drainGrace / 5, kLeastSoon);
+        least = std::min(least, soon / 3);
+        span = std::min(span, soon - least);
+    }
+    return least + milliseconds(static_cast<std::int64_t>(chance * static_cast<double>(span.count())));
 }
 
 bool Lines::feed(std::string_view bytes, const std::function<void(const listing::Listing&)>& news,
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -53,6 +53,7 @@
     std::chrono::milliseconds pauseMost{1'000};  ///< and at most, where discovery refuses nothing
     double fleetRate = 20;                       ///< times a second that all senders together ask, about
     int senders = 1;                             ///< that ask the same discovery; the platform tells
+    std::chrono::milliseconds drainGrace{250};   ///< after which what was told holds; the platform tells
 };
 
 /// What became of one watch.
@@ -65,9 +66,10 @@
 
 /// How long to wait before discovery is asked, after so many failures on end, the last of them a refusal or
 /// not: some part of a span, by `chance` in [0, 1) (full jitter: M. Brooker, "Exponential Backoff And
-/// Jitter", AWS Architecture Blog, 2015). It begins short, as what discovery tells counts whether or not a
-/// watch is open, and doubles with each failure. After refusals it begins with one in which all senders ask
-/// once at `fleetRate`, since they mostly lose discovery in the same moment.
+/// Jitter", AWS Architecture Blog, 2015). It begins short, within three fifths of the drain grace, as what
+/// discovery tells counts whether or not a watch is open, and doubles with each failure. After refusals it
+/// begins with one in which all senders ask once at `fleetRate`, since they mostly lose discovery in the same
+/// moment.
 std::chrono::milliseconds pauseBefore(const Options& options, int failures, bool refused, double chance);
 
 class Registry {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -104,6 +104,7 @@
     s.roster.membership.trust.probeSpan = s.roster.probes.jitter;
     s.roster.probes.senders = platform.senders;
     s.registry.senders = platform.senders;
+    s.registry.drainGrace = config.drainGrace;
     s.roster.probes.coldBudget =
         platform.fallMultiple > 0 ? std::min(1.0, platform.fallMultiple * platform.coldFrom) : 1.0;
 }
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -8,6 +8,10 @@
 #include <queue>
 #include <random>
 
+#include "check.hpp"
+#include "config/config.hpp"
+#include "settings/settings.hpp"
+
 namespace laurelhaven::registry {
 namespace {
 
@@ -122,6 +126,38 @@
             << senders;  // drain grace: 250 ms
 }
 
+// Another customer's grace is shorter: what was told counts sooner there. And none is so short that a stream
+// which ends at once would be asked for without a pause.
+TEST(RegistryPause, TheFirstCallGoesOutWithinAnyDrainGrace) {
+    for (const auto grace : {80ms, 150ms, 250ms, 1000ms}) {
+        auto told = options(300);
+        told.drainGrace = grace;
+        EXPECT_LE(pauseBefore(told, 0, false, 0.999999), 3 * grace / 5) << grace.count();
+        EXPECT_LE(pauseBefore(told, 0, false, 0.999999), 150ms) << grace.count();
+    }
+    auto told = options(300);
+    told.drainGrace = 0ms;
+    EXPECT_GE(pauseBefore(told, 0, false, 0), 5ms);
+}
+
+TEST(RegistryPause, TheGraceComesFromThePlatformsSettings) {
+    auto text = check::settings();
+    const std::string usual = R"("drain-grace-ns":250000000,)";
+    const auto grace = [&](const std::string& instead) {
+        auto changed = text;
+        const auto config = config::fromText(
+            check::configuration("127.0.0.1:0", "127.0.0.1:1", "",
+                                 changed.replace(changed.find(usual), usual.size(), instead)),
+            {{"BALANCER_STATE", "/tmp"}});
+        settings::Settings own;
+        settings::fit(own, config);
+        return own.registry.drainGrace;
+    };
+    EXPECT_EQ(grace(R"("drain-grace-ns":80000000,)"), 80ms);
+    EXPECT_EQ(grace(""), 250ms);
+    EXPECT_THROW(grace(R"("drain-grace-ns":-1,)"), config::Bad);
+}
+
 TEST(RegistryPause, GrowsWithRefusalsAndIsBounded) {
     const auto most = [](int senders, int failures, bool refused) {
         return pauseBefore(options(senders), failures, refused, 0.999999);
