--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -106,7 +106,7 @@
 
 void Front::accept() {
     for (;;) {
-        net::Fd fd = net::acceptFrom(listener_.get());
+        net::Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
         if (fd) {
             admit(std::move(fd));
             if (stopping_) changed_.notify_all();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -91,15 +91,6 @@
     return fd;
 }
 
-// Danger: where small writes are held back until the one before is acknowledged, a close that resets the
-// connection takes an answer with it that was written long before.
-Fd acceptFrom(int listener) {
-    Fd fd(accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
-    const int on = 1;
-    if (fd) setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    return fd;
-}
-
 int portOf(int fd) {
     sockaddr_in at{};
     socklen_t size = sizeof at;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -59,8 +59,6 @@
 }
 /// Throws std::system_error.
 Fd listenOn(const Address& at, int backlog);
-/// The next connection of a listener; empty with errno set.
-Fd acceptFrom(int listener);
 /// The port that a listening socket got.
 int portOf(int fd);
 
