Wait for a connect and for bytes in one loop over poll

Read once more: net::connected() had the loop of waitReadable() again (time left, rounding, EINTR). Both call ready() now; events, limits and results are as they were.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -27,6 +27,18 @@
     return true;
 }
 
+/// Waits for any of these events. False when the time is up first.
+bool ready(int fd, short events, Deadline until) {
+    pollfd wait{fd, events, 0};
+    for (;;) {
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(until - Steady::now()).count();
+        const int found = poll(&wait, 1, static_cast<int>(std::clamp<long>(left + 1, 0, 3600000)));
+        if (found > 0) return true;
+        if (found == 0 || errno != EINTR) return false;
+    }
+}
+
 }  // namespace
 
 void Fd::reset() {
@@ -64,18 +76,11 @@
 }
 
 bool connected(int fd, Deadline until) {
-    pollfd wait{fd, POLLOUT, 0};
-    for (;;) {
-        const auto left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(until - Steady::now()).count();
-        const int ready = poll(&wait, 1, static_cast<int>(std::clamp<long>(left + 1, 0, 3600000)));
-        if (ready < 0 && errno == EINTR) continue;
-        int error = 0;
-        socklen_t size = sizeof error;
-        if (ready <= 0 || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
-            return false;
-        return fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK) == 0;
-    }
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (!ready(fd, POLLOUT, until) || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
+        return false;
+    return fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK) == 0;
 }
 
 Fd listenOn(const Address& at, int backlog) {
@@ -124,16 +129,7 @@
     }
 }
 
-bool waitReadable(int fd, Deadline until) {
-    pollfd wait{fd, POLLIN | POLLRDHUP, 0};
-    for (;;) {
-        const auto left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(until - Steady::now()).count();
-        const int ready = poll(&wait, 1, static_cast<int>(std::clamp<long>(left + 1, 0, 3600000)));
-        if (ready > 0) return true;
-        if (ready == 0 || errno != EINTR) return false;
-    }
-}
+bool waitReadable(int fd, Deadline until) { return ready(fd, POLLIN | POLLRDHUP, until); }
 
 Unread unread(int fd) {
     char byte;
