--- /dev/null
+++ b/tests/store/disk_faults_test.cpp
@@ -0,0 +1,147 @@
+// The journal while the file system fails for a time: nothing that was taken on is forgotten, and nothing
+// that happened meanwhile is missing from the record once writes succeed again.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <map>
+
+#include "check.hpp"
+#include "faults/file_faults.hpp"
+#include "log/log.hpp"
+#include "store/journal.hpp"
+
+namespace {
+
+using namespace laurelhaven::store;
+
+constexpr std::uint64_t kDiskBytes = 3'000'000;
+
+class JournalDiskFaults : public testing::Test {
+  protected:
+    JournalDiskFaults() { laurelhaven::log::setLevel(laurelhaven::log::Level::off); }
+    ~JournalDiskFaults() override { repairDisk(); }
+
+    static Taken message(const std::string& id) {
+        Taken taken;
+        taken.id = id;
+        taken.key = "key-" + id;
+        taken.destination = 7;
+        taken.deadline = 1234567;
+        taken.body = std::make_shared<const std::string>("body");
+        return taken;
+    }
+    static void repairDisk() {
+        for (auto* failure :
+             {&faults::writeFailure, &faults::readFailure, &faults::truncateFailure, &faults::renameFailure})
+            failure->disarm();
+        faults::writtenBeforeFailure = 0;
+    }
+    std::map<std::string, Taken> messagesAfterKill() const {
+        std::map<std::string, Taken> byId;
+        for (const auto& found : Journal(folder_.path, kDiskBytes).recover().messages) byId[found.id] = found;
+        return byId;
+    }
+
+    const check::Folder folder_;
+};
+
+// What a call came to, while no record can be written, is on record once the disk is well again.
+TEST_F(JournalDiskFaults, WhatHappenedWhileWritesFailedIsOnRecordAfterwards) {
+    Journal journal(folder_.path, kDiskBytes);
+    journal.recover();
+    for (const char* id : {"delivered", "failed", "refused", "unsent", "returned", "told"}) {
+        ASSERT_TRUE(journal.take(message(id)));
+        ASSERT_TRUE(journal.attempt(id, 100));
+    }
+    journal.ended({"told", End::failed, 0});
+
+    faults::writeFailure.arm(ENOSPC);
+    journal.done("delivered");
+    journal.outcome("failed", true, true);
+    journal.outcome("refused", false, false);
+    journal.unsent("unsent");
+    journal.ended({"returned", End::returned, 500});
+    journal.noticed("told");
+    EXPECT_FALSE(journal.take(message("late"))) << "nothing may be taken on that is not on record";
+    EXPECT_FALSE(journal.attempt("refused", 200)) << "no call may begin that is not on record";
+    repairDisk();
+
+    ASSERT_TRUE(journal.take(message("next")));
+    auto found = messagesAfterKill();
+    EXPECT_FALSE(found.count("delivered"));
+    EXPECT_FALSE(found["failed"].out);
+    EXPECT_EQ(found["failed"].ranAt, 100);
+    EXPECT_FALSE(found["refused"].out);
+    EXPECT_EQ(found["refused"].ranAt, 0);
+    EXPECT_EQ(found["unsent"].attempts, 0u);
+    EXPECT_FALSE(found.count("returned"));
+    EXPECT_TRUE(found.count("next"));
+    EXPECT_FALSE(found.count("late"));
+    const auto notices = Journal(folder_.path, kDiskBytes).recover().notices;
+    ASSERT_EQ(notices.size(), 1u);
+    EXPECT_EQ(notices[0].id, "returned");
+    EXPECT_EQ(notices[0].afterMs, 500);
+}
+
+// Half of a record stays in the file as it can't be cut off either. What is written behind it must not make
+// the messages before it look as if they might have run.
+TEST_F(JournalDiskFaults, HalfARecordThatCannotBeCutOffLeavesNoDoubt) {
+    Journal journal(folder_.path, kDiskBytes);
+    journal.recover();
+    ASSERT_TRUE(journal.take(message("before")));
+    faults::writtenBeforeFailure = 20;
+    faults::writeFailure.arm(EIO);
+    faults::truncateFailure.arm(EIO);
+    EXPECT_FALSE(journal.take(message("torn")));
+    faults::writeFailure.disarm();
+    const bool stored = journal.take(message("behind"));
+    repairDisk();
+    ASSERT_TRUE(journal.take(message("after")));
+    auto found = messagesAfterKill();
+    for (const char* id : {"before", "after"}) {
+        ASSERT_TRUE(found.count(id)) << id;
+        EXPECT_EQ(found[id].ranAt, 0) << id << " counts as one that may have run";
+    }
+    EXPECT_FALSE(found.count("torn"));
+    EXPECT_EQ(found.count("behind") == 1, stored);
+}
+
+// A read that fails is not the end of the file: what lies behind it is still owed.
+TEST_F(JournalDiskFaults, AReadThatFailsAtTheStartCutsNothingOff) {
+    {
+        Journal journal(folder_.path, kDiskBytes);
+        journal.recover();
+        for (int i = 0; i < 3; ++i) ASSERT_TRUE(journal.take(message("m" + std::to_string(i))));
+    }
+    {
+        Journal journal(folder_.path, kDiskBytes);
+        faults::readFailure.arm(EIO, 1);
+        EXPECT_EQ(journal.recover().messages.size(), 3u);
+        repairDisk();
+    }
+    EXPECT_EQ(messagesAfterKill().size(), 3u);
+}
+
+// A fresh file that can't take the old one's place leaves all as it was, whatever step fails.
+TEST_F(JournalDiskFaults, ACompactionThatFailsLosesNothing) {
+    Journal journal(folder_.path, kDiskBytes);
+    journal.recover();
+    ASSERT_TRUE(journal.take(message("kept")));
+    const auto churn = [&](int rounds) {
+        for (int i = 0; i < rounds; ++i) {
+            const auto id = "m" + std::to_string(i);
+            if (journal.take(message(id))) journal.done(id);
+        }
+    };
+    faults::renameFailure.arm(EIO);
+    churn(4000);  // far past the size at which a fresh file is due
+    EXPECT_TRUE(messagesAfterKill().count("kept"));
+    repairDisk();
+    churn(4000);
+    EXPECT_LT(journal.fileBytes(), 512u * 1024);
+    const auto found = messagesAfterKill();
+    EXPECT_EQ(found.size(), 1u);
+    EXPECT_TRUE(found.count("kept"));
+}
+
+}  // namespace
