Keep what happened while the disk failed, and write it before anything else

After half a write whose ftruncate() failed, records were written behind the half, and recover() took all before it for what may have run. readAll() ended at a failed read, and recover() cut the rest of the file off. A compaction that failed was tried with each record. The kept list's read had the same fault.

Change: records that ask (take, attempt) are refused while the file can't be written; records that tell are applied at once, wait in order, and go first. Behind a torn tail nothing is written: it is cut off, or a fresh file takes the place. A failed read or open at the start is repeated for up to 8 s, then ends the process; a folder too full for a new file opens it later. The facade's tick and the end of a stop try again to write what waits. The log has one line when the trouble begins and one when it ends.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -19,6 +19,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLate{50};
+constexpr milliseconds kFlush{100};                // between tries to write what the store could not
 constexpr std::chrono::seconds kDestinations{60};  // so long a destination without endpoints stays one
 
 stoathub::Time moduleTime(Moment at) {
@@ -316,6 +317,7 @@
 void Decisions::report(const std::vector<std::string>& noticed) {
     const std::lock_guard lock(mutex_);
     for (const auto& id : noticed) store_.noticed(id);
+    if (store_.behind()) wake_.notify_one();
 }
 
 void Decisions::withdraw(const std::string& id) {
@@ -387,9 +389,12 @@
 bool Decisions::tick() {
     std::unique_lock lock(mutex_);
     while (!stopped_) {
-        if (!wakeAt_) {
+        const auto now = Steady::now();
+        const bool behind = !store_.flush();
+        const auto next = std::min(wakeAt_.value_or(Moment::max()), behind ? now + kFlush : Moment::max());
+        if (next == Moment::max()) {
             wake_.wait(lock);
-        } else if (const auto next = *wakeAt_; Steady::now() < next) {
+        } else if (now < next) {
             wake_.wait_until(lock, next);
         } else {
             // Whatever is decided on time counts for little where the machine holds the process up.
@@ -469,6 +474,7 @@
         }
         // Follow has no place on sockets: the watch always runs.
     }
+    if (store_.behind()) wake_.notify_one();
 }
 
 void Decisions::conclude(const std::string& id, const store::Owed& notice) {
@@ -511,6 +517,11 @@
     wake_.notify_all();
 }
 
+bool Decisions::flushRecords() {
+    const std::lock_guard lock(mutex_);
+    return store_.flush();
+}
+
 Decisions::Counts Decisions::counts() const {
     const std::lock_guard lock(mutex_);
     return {held_.size(), endpoints_.size(), destinations_.size(), waits_.size()};
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -147,6 +147,8 @@
     void stopPicking();
     /// Nothing is decided or recorded any more: calls still out stay so in the store, as for a crash.
     void stop();
+    /// Tries once more to write what the store could not. True when nothing is left to write.
+    bool flushRecords();
     std::size_t held() const;
     std::size_t out() const;
 
--- a/src/kept/kept.cpp
+++ b/src/kept/kept.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <cstdio>
 #include <cstring>
+#include <thread>
 
 #include "log/log.hpp"
 #include "store/frame.hpp"
@@ -24,7 +25,10 @@
 constexpr std::uint64_t kVersion = 1;
 constexpr std::size_t kLongest = 4096;
 constexpr std::uint64_t kBlock = 512;  // files count in whole blocks
-constexpr WallMs kAhead = 5000;        // a clock may be corrected by so much without a word
+// A read may fail for a moment; what it would cost is the memory of what has drained.
+constexpr int kReadTries = 50;
+constexpr std::chrono::milliseconds kReadPause{20};
+constexpr WallMs kAhead = 5000;  // a clock may be corrected by so much without a word
 
 enum Type : char { kHeader = 'V', kEntry = 'E', kRemoved = 'R', kWhole = 'M', kStanding = 'S' };
 
@@ -234,8 +238,17 @@
         return made;
     }
     // Danger: whatever lies there may be of any size, and memory is small.
-    const auto bytes = store::readAll(fd.get(), most_ + 1);
+    auto file = store::readAll(fd.get(), most_ + 1);
+    for (int tries = 1; !file.complete && tries < kReadTries; ++tries) {
+        std::this_thread::sleep_for(kReadPause);
+        if (lseek(fd.get(), 0, SEEK_SET) == 0) file = store::readAll(fd.get(), most_ + 1);
+    }
+    const auto& bytes = file.text;
     made = read(std::string_view(bytes).substr(0, most_), sender_, now);
+    if (!file.complete && made.state == State::good) {
+        made.state = State::torn;
+        made.what = std::string("it can't be read to its end: ") + std::strerror(errno);
+    }
     if (bytes.size() > most_) {
         made.state = State::oversized;
         made.what = "it is larger than the " + std::to_string(most_) + " bytes that it may have";
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "commands/list.hpp"
@@ -43,6 +44,7 @@
 constexpr milliseconds kServeOn{2400};
 constexpr milliseconds kLeastServeOn{600};
 constexpr milliseconds kFinish{3000};
+constexpr milliseconds kRecord{3300};
 constexpr milliseconds kLook{20};
 
 sigset_t ourSignals() {
@@ -182,6 +184,8 @@
     registry.stop();
     roster.stop();
     delivery.stop();
+    // What was heard to the very end belongs on record, though the disk fails just now.
+    while (!decisions.flushRecords() && since() < kRecord) std::this_thread::sleep_for(kLook);
     capture.stop();
     if (const auto c = capture.counts(); own.capture.enabled)
         (log::info() << "capture: stopped")
--- a/src/store/frame.cpp
+++ b/src/store/frame.cpp
@@ -60,15 +60,20 @@
     return found;
 }
 
-std::string readAll(int fd, std::size_t most) {
-    std::string text;
+ReadText readAll(int fd, std::size_t most) {
+    ReadText all;
     char bytes[8192];
-    while (text.size() < most) {
-        const auto got = read(fd, bytes, std::min(sizeof bytes, most - text.size()));
-        if (got > 0) text.append(bytes, static_cast<std::size_t>(got));
-        else if (got == 0 || errno != EINTR) break;
+    while (all.text.size() < most) {
+        const auto got = read(fd, bytes, std::min(sizeof bytes, most - all.text.size()));
+        if (got > 0) all.text.append(bytes, static_cast<std::size_t>(got));
+        if (got == 0) break;
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0) {
+            all.complete = false;
+            break;
+        }
     }
-    return text;
+    return all;
 }
 
 bool writeAll(int fd, std::string_view bytes) {
--- a/src/store/frame.hpp
+++ b/src/store/frame.hpp
@@ -89,8 +89,13 @@
 Scan scan(std::string_view bytes, std::string_view mark, std::size_t longest,
           const std::function<void(std::string_view)>& each);
 
+/// What reading a file came to.
+struct ReadText {
+    std::string text;
+    bool complete = true;  ///< false: a read failed, and the file may go on; errno tells
+};
 /// All that can be read from the descriptor, up to `most` bytes.
-std::string readAll(int fd, std::size_t most = SIZE_MAX);
+ReadText readAll(int fd, std::size_t most = SIZE_MAX);
 /// False where not all of it could be written; errno tells.
 bool writeAll(int fd, std::string_view bytes);
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <cstring>
 #include <system_error>
+#include <thread>
+#include <utility>
 
 #include "log/log.hpp"
 #include "store/frame.hpp"
@@ -24,6 +26,10 @@
 constexpr std::uint64_t kReserve = 256;
 constexpr WallMs kLongAgo = 1;
 constexpr std::uint64_t kStale = 256 * 1024;  // records of what is over, beyond which a fresh file is written
+constexpr std::chrono::milliseconds kCompactPause{200};  // after a compaction that failed
+// At a start what is owed must be read: a failing folder is asked again for so long, in such steps.
+constexpr std::chrono::seconds kRetryAtStart{8};
+constexpr std::chrono::milliseconds kRetryPause{20};
 
 enum Type : char {
     kTakeByPosition = 'T',  // read only
@@ -36,6 +42,19 @@
     kNoticed = 'N'
 };
 
+/// Repeats a step of the start until it succeeds. Throws std::system_error where it fails for too long: a
+/// sender that does not know what it owes must not serve.
+template <class Step>
+void retryWhileFailing(const std::string& path, Step step) {
+    const auto until = std::chrono::steady_clock::now() + kRetryAtStart;
+    while (!step()) {
+        const int error = errno;
+        if (error == ENOENT || error == ENOTDIR || std::chrono::steady_clock::now() >= until)
+            throw std::system_error(error, std::generic_category(), "can't open or read " + path);
+        std::this_thread::sleep_for(kRetryPause);
+    }
+}
+
 template <class T>
 T at(const std::vector<T>& all, std::uint64_t position) {
     return position < all.size() ? all[position] : T{};
@@ -49,12 +68,30 @@
       positions_(std::move(positions)) {
     // A copy that was not finished when the process died: the old file still holds everything.
     unlink((path_ + ".new").c_str());
-    file_ = net::Fd(open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
-    if (!file_) throw std::system_error(errno, std::generic_category(), "can't open " + path_);
+    retryWhileFailing(path_, [this] { return openFile(); });
+}
+
+/// True when the file is open, or can't be created because the disk is full: then nothing is owed yet.
+bool Journal::openFile() {
+    do {
+        file_ = net::Fd(open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+    } while (!file_ && errno == EINTR);
+    if (file_) return true;
+    const int error = errno;
+    struct stat found {};
+    const bool absent = stat(path_.c_str(), &found) != 0 && errno == ENOENT;
+    errno = error;
+    return absent && error == ENOSPC;
 }
 
 Recovered Journal::recover() {
-    const std::string text = readAll(file_.get());
+    std::string text;
+    retryWhileFailing(path_, [&] {
+        if (!file_) return true;
+        auto read = lseek(file_.get(), 0, SEEK_SET) == 0 ? readAll(file_.get()) : ReadText{{}, false};
+        text = std::move(read.text);
+        return read.complete;
+    });
     const char* next = text.data();
     const auto [good, damaged, records] = scan(text, kMark, kLongest, [&](std::string_view payload) {
         if (payload.data() - kHead != next) doubt();
@@ -65,8 +102,8 @@
     if (good < text.size())
         log::warning() << "journal: dropped a torn tail of " << text.size() - good << " bytes";
     size_ = good;
-    if (ftruncate(file_.get(), static_cast<off_t>(good)) != 0)
-        log::error() << "journal: can't cut the torn tail";
+    tornTail_ = good < text.size();
+    if (!cutTornTail()) log::error() << "journal: can't cut the torn tail yet: " << std::strerror(errno);
     // What the positions mean holds for this configuration: by the next start they must be names.
     if (firstForm_) compact();
     Recovered found;
@@ -219,24 +256,88 @@
     log::error() << "journal: skipped a record of no known form";
 }
 
+/// A record that asks for something: false, and nothing has changed, where it can't be written now.
 bool Journal::append(std::string_view payload) {
+    if (!writeUnwritten() || !write(payload)) return false;
+    apply(payload);
+    return true;
+}
+
+/// A record of what has happened: it holds from now on, and is written as soon as that can be done.
+void Journal::tell(std::string payload) {
+    apply(payload);
+    unwritten_.push_back(std::move(payload));
+    writeUnwritten();
+}
+
+bool Journal::flush() { return writeUnwritten(); }
+
+// Danger: written out of order, an attempt would stand in front of the outcome of the one before it. So what
+// waits goes first, whatever is to be written.
+bool Journal::writeUnwritten() {
+    while (!unwritten_.empty()) {
+        if (!write(unwritten_.front())) return false;
+        if (!unwritten_.empty()) unwritten_.pop_front();  // a compaction has written them all
+    }
+    return true;
+}
+
+/// One record at the end of the file.
+bool Journal::write(std::string_view payload) {
     const std::string bytes = framed(kMark, payload);
-    // The file, the copy that must still fit beside it, and this record in both.
-    const bool full = size_ + liveBytes_ + 2 * bytes.size() > budget_ && size_ > liveBytes_;
-    // The folder counts as memory: what is long over is not kept until the disk is full.
-    if (full || size_ > liveBytes_ + kStale) compact();
-    if (size_ + bytes.size() > budget_) return false;
+    const bool waited = !unwritten_.empty();
+    if (!makeRoom(bytes.size())) return false;
+    if (waited && unwritten_.empty()) return true;  // the fresh file tells it already
     if (!writeAll(file_.get(), bytes)) {
-        log::error() << "journal: can't write: " << std::strerror(errno);
-        if (ftruncate(file_.get(), static_cast<off_t>(size_)) != 0) log::error() << "journal: can't cut back";
+        noteFailure("write");
+        tornTail_ = true;
+        cutTornTail();
         return false;
     }
+    if (std::exchange(failing_, false)) log::info() << "journal: writes succeed again";
     size_ += bytes.size();
-    apply(payload);
     return true;
 }
 
+/// The file is open, ends with a whole record, and has room for a record of so many bytes.
+bool Journal::makeRoom(std::size_t bytes) {
+    if (!file_ && !(openFile() && file_)) {
+        noteFailure("open");
+        return false;
+    }
+    // Danger: what is written behind half a record makes all before it look damaged, and so as if it might
+    // have run. Either the half goes or a fresh file takes the place of this one.
+    if (!cutTornTail() && !compact()) return false;
+    // The file, the copy that must still fit beside it, and this record in both.
+    const bool full = size_ + liveBytes_ + 2 * bytes > budget_ && size_ > liveBytes_;
+    // The folder counts as memory: what is long over is not kept until the disk is full.
+    if (full || size_ > liveBytes_ + kStale) compact();
+    return size_ + bytes <= budget_;
+}
+
+/// False while bytes of a failed write still lie behind the last whole record.
+bool Journal::cutTornTail() {
+    if (!tornTail_ || !file_) return !tornTail_;
+    int result = 0;
+    do {
+        result = ftruncate(file_.get(), static_cast<off_t>(size_));
+    } while (result != 0 && errno == EINTR);
+    if (result != 0) return false;
+    tornTail_ = false;
+    return true;
+}
+
+/// One line when the trouble begins, not one for each record.
+void Journal::noteFailure(const char* what) {
+    if (!std::exchange(failing_, true))
+        log::error() << "journal: can't " << what << ": " << std::strerror(errno);
+}
+
+/// Writes a fresh file of what is alive, with everything that waits to be written in it. After a failure it
+/// is not tried again at once: it may be long, and it is asked for with every record.
 bool Journal::compact() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < compactAgainAt_) return false;
     const std::string fresh = path_ + ".new";
     net::Fd file(open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
     std::uint64_t size = 0;
@@ -248,13 +349,16 @@
         size += bytes.size();
     }
     if (!good || rename(fresh.c_str(), path_.c_str()) != 0) {
-        log::error() << "journal: can't compact: " << std::strerror(errno);
+        noteFailure("compact");
         unlink(fresh.c_str());
+        compactAgainAt_ = now + kCompactPause;
         return false;
     }
     log::debug() << "journal: compacted " << size_ << " to " << size << " bytes";
     file_ = std::move(file);
     size_ = size;
+    tornTail_ = false;
+    unwritten_.clear();
     return true;
 }
 
@@ -274,17 +378,17 @@
 bool Journal::attempt(const std::string& id, WallMs at) {
     return append(Writer(kAttempt).text(id).number(at).take());
 }
-void Journal::unsent(const std::string& id) { append(Writer(kUnsent).text(id).take()); }
+void Journal::unsent(const std::string& id) { tell(Writer(kUnsent).text(id).take()); }
 void Journal::outcome(const std::string& id, bool mayHaveRun, bool failed) {
-    append(Writer(kOutcome).text(id).number(mayHaveRun).number(failed).take());
+    tell(Writer(kOutcome).text(id).number(mayHaveRun).number(failed).take());
 }
-void Journal::done(const std::string& id) { append(Writer(kDone).text(id).take()); }
+void Journal::done(const std::string& id) { tell(Writer(kDone).text(id).take()); }
 void Journal::ended(const Owed& notice) {
     Live live;
     live.over = true;
     live.notice = notice;
-    append(record(live));
+    tell(record(live));
 }
-void Journal::noticed(const std::string& id) { append(Writer(kNoticed).text(id).take()); }
+void Journal::noticed(const std::string& id) { tell(Writer(kNoticed).text(id).take()); }
 
 }  // namespace laurelhaven::store
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -3,8 +3,13 @@
 // A record is a mark, the length and the checksum of its payload, and the payload; one write each, so what a
 // killed process had written is there. The file and its successor are both inside the byte budget: once the
 // next record would not leave room for a copy of what is alive, that copy is written and takes its place.
+//
+// While the file system fails, records of what has happened wait in memory, and are written before anything
+// else. Their number is bounded: meanwhile nothing is taken on and no attempt begins.
 #pragma once
 
+#include <chrono>
+#include <deque>
 #include <list>
 #include <string>
 #include <string_view>
@@ -35,6 +40,8 @@
     void done(const std::string& id) override;
     void ended(const Owed& notice) override;
     void noticed(const std::string& id) override;
+    bool behind() const override { return !unwritten_.empty(); }
+    bool flush() override;
 
     std::uint64_t fileBytes() const { return size_; }
 
@@ -47,8 +54,15 @@
     };
     using Order = std::list<Live>;
 
+    bool openFile();
     bool append(std::string_view payload);
+    void tell(std::string payload);
+    bool writeUnwritten();
+    bool write(std::string_view payload);
+    bool makeRoom(std::size_t bytes);
+    bool cutTornTail();
     bool compact();
+    void noteFailure(const char* what);
     void apply(std::string_view payload);
     void remember(Live live);
     void forget(const std::string& id);
@@ -61,8 +75,12 @@
     Positions positions_;
     bool firstForm_ = false;  // such a record was read
     net::Fd file_;
-    std::uint64_t size_ = 0;       // of the file
-    std::uint64_t liveBytes_ = 0;  // of a fresh file
+    std::uint64_t size_ = 0;             // of the file, up to the end of its last whole record
+    bool tornTail_ = false;              // bytes of a failed write may lie behind that
+    std::deque<std::string> unwritten_;  // payloads of what has happened, applied and not yet in the file
+    std::chrono::steady_clock::time_point compactAgainAt_{};  // after a compaction that failed
+    bool failing_ = false;                                    // the last write failed, and was logged
+    std::uint64_t liveBytes_ = 0;                             // of a fresh file
     Order order_;
     std::unordered_map<std::string, Order::iterator> live_;
 };
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -41,6 +41,10 @@
 };
 
 /// Calls are made by one thread at a time.
+///
+/// take() and attempt() ask for something to be done, and are refused while the record can't be written.
+/// The others tell what has happened already: they can't be refused, and a store that can't write them
+/// keeps them, in order, until it can.
 class Store {
   public:
     virtual ~Store() = default;
@@ -58,6 +62,10 @@
     /// Ended undelivered; owed until `noticed`.
     virtual void ended(const Owed& notice) = 0;
     virtual void noticed(const std::string& id) = 0;
+    /// True while something that has happened could not be written yet.
+    virtual bool behind() const { return false; }
+    /// Tries again to write that. True when nothing is left to write.
+    virtual bool flush() { return true; }
 };
 
 }  // namespace laurelhaven::store
