--- a/tests/laurelhaven/program.hpp
+++ b/tests/laurelhaven/program.hpp
@@ -133,11 +133,14 @@
     ~Program() {
         if (pid_ > 0) end(SIGKILL);
     }
+    /// Variables of its next start besides the usual ones.
+    void setVariables(std::vector<std::string> variables) { variables_ = std::move(variables); }
     /// `begun` is told its process before that is ready.
     void start(const std::function<void(pid_t)>& begun = {}) {
         // An environment of its own: several of these may start side by side.
         std::vector<std::string> variables{"BALANCER_CONFIG=" + folder_ + "/config.json",
                                            "BALANCER_STATE=" + folder_ + "/state"};
+        variables.insert(variables.begin(), variables_.begin(), variables_.end());
         for (char** v = environ; *v; ++v) variables.emplace_back(*v);
         std::vector<char*> environment;
         for (auto& v : variables) environment.push_back(v.data());
@@ -187,6 +190,7 @@
   private:
     int port_;
     std::string folder_;
+    std::vector<std::string> variables_;
     pid_t pid_ = -1;
 };
 
