Keep all times on disk on a line that the wall clock's steps don't move

Cause: decisions.cpp and roster.cpp wrote deadlines, times of attempts and ages with system_clock and read them back with the next life's system_clock.

Change: src/clock/record_clock. The distance of the time line to the monotonic clock is fixed at the first start, written to clock.anchor with the boot's id, and used by all later lives on that boot; after a restart of the machine the wall clock bridges the gap. Nothing that tells a time is kept before the anchor is on disk: the facade refuses messages, the roster puts its write off. `list` reads ages on the same line.

--- a/lab/rig/world.cpp
+++ b/lab/rig/world.cpp
@@ -29,7 +29,7 @@
 constexpr const char* kBlock = "127.64.0.0/12";
 constexpr int kClientConnections = 384;
 
-trust::WallMs wallNow() {
+trust::RecordMs wallNow() {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
--- a/src/clock/record_clock.hpp
+++ b/src/clock/record_clock.hpp
@@ -14,10 +14,12 @@
 #include <optional>
 #include <string>
 
+#include "store/store.hpp"
+
 namespace laurelhaven::clock {
 
 /// Milliseconds on the time line. Close to Unix time, as the wall clock was when the line was anchored.
-using RecordMs = std::int64_t;
+using store::RecordMs;
 
 /// What ties the time line to the monotonic clock of one boot of the machine.
 struct Anchor {
--- a/src/commands/list.cpp
+++ b/src/commands/list.cpp
@@ -17,7 +17,7 @@
 namespace laurelhaven::commands {
 namespace {
 
-using trust::WallMs;
+using trust::RecordMs;
 
 bool readFile(const std::string& path, std::string& text) {
     std::ifstream file(path, std::ios::binary);
@@ -69,7 +69,7 @@
     const auto written = loaded.image.writtenAt;
     const auto sender = loaded.image.sender;
     const auto list = merged(std::move(loaded.image), settings);
-    const auto age = trust::milliseconds(std::max<WallMs>(0, file.now - written));
+    const auto age = trust::milliseconds(std::max<RecordMs>(0, file.now - written));
     if (json) {
         Json::Value root;
         root["sender"] = sender;
@@ -121,11 +121,13 @@
         any = true;
         out << fmt::format("  {}:", destination);
         if (s.down)
-            out << fmt::format(" down, last seen {} ago;",
-                               trust::span(trust::milliseconds(std::max<WallMs>(0, file.now - s.outageAt))));
+            out << fmt::format(
+                " down, last seen {} ago;",
+                trust::span(trust::milliseconds(std::max<RecordMs>(0, file.now - s.outageAt))));
         if (s.coldSince > 0)
-            out << fmt::format(" back for {};",
-                               trust::span(trust::milliseconds(std::max<WallMs>(0, file.now - s.coldSince))));
+            out << fmt::format(
+                " back for {};",
+                trust::span(trust::milliseconds(std::max<RecordMs>(0, file.now - s.coldSince))));
         if (s.told > 0) out << fmt::format(" takes {:.2f}/s from all senders;", s.told);
         out << '\n';
     }
--- a/src/commands/list.hpp
+++ b/src/commands/list.hpp
@@ -14,7 +14,7 @@
 struct ListFile {
     std::string path;    ///< of the kept list
     std::string sender;  ///< whose list; empty: anybody's
-    trust::WallMs now = 0;
+    trust::RecordMs now = 0;
 };
 
 // All return the exit status: 0 fine, 1 what was asked for is not so, 2 it can't be done.
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -28,10 +28,6 @@
 Moment moment(stoathub::Time at) {
     return Moment(std::chrono::duration_cast<Steady::duration>(at.time_since_epoch()));
 }
-store::WallMs wallNow() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(now).count();
-}
 milliseconds wholeMs(stoathub::Duration span) { return std::chrono::ceil<milliseconds>(span); }
 
 stoathub::Result moduleResult(Ending ending) {
@@ -62,8 +58,13 @@
 
 }  // namespace
 
-Decisions::Decisions(const config::Config& config, store::Store& store, Hooks hooks)
-    : config_(config), store_(store), hooks_(std::move(hooks)), sender_(config.settings, config.seed) {}
+Decisions::Decisions(const config::Config& config, store::Store& store, Hooks hooks,
+                     clock::RecordClock& recordClock)
+    : config_(config),
+      store_(store),
+      hooks_(std::move(hooks)),
+      recordClock_(recordClock),
+      sender_(config.settings, config.seed) {}
 
 // ---- pick ----
 
@@ -97,7 +98,7 @@
     const auto it = held_.find(call.id);
     if (it == held_.end() || !holds(it->second, call, Steady::now())) return false;
     if (it->second.begun) return true;
-    return it->second.begun = store_.attempt(call.id, wallNow());
+    return it->second.begun = store_.attempt(call.id, recordClock_.now());
 }
 
 void Decisions::neverLeft(const Call& call) {
@@ -146,9 +147,11 @@
     record.grade = config_.classes[message.grade];
     if (message.tenant < config_.tenants.size()) record.tenant = config_.tenants[message.tenant];
     record.effect = static_cast<int>(config_.settings.grades[message.grade].effect);
-    record.deadline = wallNow() + std::chrono::duration_cast<milliseconds>(message.deadline - now).count();
+    record.deadline =
+        recordClock_.now() + std::chrono::duration_cast<milliseconds>(message.deadline - now).count();
     record.body = message.body;
-    const bool stored = store_.take(record);
+    // Without the clock's anchor on disk a later life could not tell what the deadline means.
+    const bool stored = recordClock_.persist() && store_.take(record);
     if (stored == noRoom_) {
         noRoom_ = !stored;
         if (noRoom_) log::warning() << "no room in the store at " << held_.size() << " messages held";
@@ -330,14 +333,14 @@
     turn({{stoathub::ClientGone{id}}});
 }
 
-std::size_t Decisions::restore(const std::vector<store::Taken>& messages, store::WallMs healthKnownUntil) {
+std::size_t Decisions::restore(const std::vector<store::Taken>& messages, store::RecordMs healthKnownUntil) {
     const std::lock_guard lock(mutex_);
     const auto now = Steady::now();
-    const auto wall = wallNow();
+    const auto recordNow = recordClock_.now();
     std::size_t late = 0;
     Events events;
     for (const auto& m : messages) {
-        const milliseconds left(m.deadline - wall);
+        const milliseconds left(m.deadline - recordNow);
         late += left.count() <= 0;
         log::debug() << "found " << m.id << " for " << m.destination << " attempts " << m.attempts << " out "
                      << m.out << " failures " << m.failures << " left " << left.count();
@@ -376,7 +379,7 @@
         past.failures = m.sentAt > healthKnownUntil ? static_cast<int>(m.failures) : 0;
         past.mayHaveRun = mayHaveRun;
         const auto ranAt = m.ranAt > 0 ? m.ranAt : m.sentAt;
-        past.sinceRan = milliseconds(mayHaveRun ? std::max<store::WallMs>(0, wall - ranAt) : 0);
+        past.sinceRan = milliseconds(mayHaveRun ? std::max<store::RecordMs>(0, recordNow - ranAt) : 0);
         handed.past = past;
         events.all.push_back(std::move(handed));
     }
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "clock/record_clock.hpp"
 #include "config/config.hpp"
 #include "listing/listing.hpp"
 #include "store/store.hpp"
@@ -96,7 +97,9 @@
 
 class Decisions {
   public:
-    Decisions(const config::Config& config, store::Store& store, Hooks hooks);
+    /// `recordClock`: the time line of what the store keeps.
+    Decisions(const config::Config& config, store::Store& store, Hooks hooks,
+              clock::RecordClock& recordClock = clock::ofProcess());
 
     /// Blocks until a call is due. Nothing once picking has stopped.
     std::optional<Call> pick();
@@ -117,7 +120,7 @@
     /// What an earlier life left unfinished. Up to `healthKnownUntil` what that life had learnt of its
     /// partners' health was told by report() of standings; only later failures speak of it. The number of
     /// those whose deadline has passed meanwhile: they end at once, uncalled.
-    std::size_t restore(const std::vector<store::Taken>& messages, store::WallMs healthKnownUntil = 0);
+    std::size_t restore(const std::vector<store::Taken>& messages, store::RecordMs healthKnownUntil = 0);
 
     /// What a later life ought to know, and which waits are on: of the destinations that stand out.
     std::vector<Standing> standings() const;
@@ -185,6 +188,7 @@
     const config::Config& config_;
     store::Store& store_;
     Hooks hooks_;
+    clock::RecordClock& recordClock_;
     mutable std::mutex mutex_;
     std::condition_variable due_, wake_;
     stoathub::Sender sender_;
--- a/src/kept/kept.cpp
+++ b/src/kept/kept.cpp
@@ -28,7 +28,7 @@
 // A read may fail for a moment; what it would cost is the memory of what has drained.
 constexpr int kReadTries = 50;
 constexpr std::chrono::milliseconds kReadPause{20};
-constexpr WallMs kAhead = 5000;  // a clock may be corrected by so much without a word
+constexpr RecordMs kAhead = 5000;  // a clock may be corrected by so much without a word
 
 enum Type : char { kHeader = 'V', kEntry = 'E', kRemoved = 'R', kWhole = 'M', kStanding = 'S' };
 
@@ -44,11 +44,11 @@
     e.is.weight = finite(in.real());
     e.is.sinceMs = in.number<std::int64_t>();
     e.index = in.number<std::uint64_t>();
-    e.firstTold = in.number<WallMs>();
-    e.confirmedAt = in.number<WallMs>();
+    e.firstTold = in.number<RecordMs>();
+    e.confirmedAt = in.number<RecordMs>();
     const auto by = in.number<std::uint64_t>();
     const auto against = in.number<std::uint64_t>();
-    e.againstAt = in.number<WallMs>();
+    e.againstAt = in.number<RecordMs>();
     e.heldBack = in.number<std::uint64_t>() == 1;
     e.traffic = std::max(0.0, finite(in.real()));
     if (!in.whole() || e.is.name.empty() || status > 2 || by > 3 || against > 6) return false;
@@ -67,7 +67,7 @@
     return kNames[static_cast<int>(state)];
 }
 
-std::string header(const std::string& sender, WallMs now) {
+std::string header(const std::string& sender, RecordMs now) {
     return store::framed(kMark, Writer(kHeader).number(kVersion).text(sender).number(now).take());
 }
 std::string record(const membership::Entry& e) {
@@ -93,7 +93,7 @@
 std::string removal(const std::string& endpoint) {
     return store::framed(kMark, Writer(kRemoved).text(endpoint).take());
 }
-std::string mark(std::uint64_t index, std::uint64_t epoch, const trust::Churn& churn, WallMs now) {
+std::string mark(std::uint64_t index, std::uint64_t epoch, const trust::Churn& churn, RecordMs now) {
     return store::framed(kMark, Writer(kWhole)
                                     .number(index)
                                     .number(epoch)
@@ -112,7 +112,7 @@
                                     .take());
 }
 
-Loaded read(std::string_view bytes, const std::string& sender, WallMs now) {
+Loaded read(std::string_view bytes, const std::string& sender, RecordMs now) {
     Loaded made;
     made.bytes = bytes.size();
     if (bytes.empty()) return made;
@@ -137,7 +137,7 @@
                 return;
             }
             image.sender = in.text();
-            image.writtenAt = in.number<WallMs>();
+            image.writtenAt = in.number<RecordMs>();
             headed = in.whole();
             if (headed && (sender.empty() || image.sender == sender)) return;
             made.state = State::foreign;
@@ -164,7 +164,7 @@
             case kWhole: {
                 const auto index = in.number<std::uint64_t>(), epoch = in.number<std::uint64_t>();
                 const auto seconds = in.real(), changes = in.real();
-                const auto at = in.number<WallMs>();
+                const auto at = in.number<RecordMs>();
                 if (!in.whole()) break;
                 image.index = index;
                 image.epoch = epoch;
@@ -182,8 +182,8 @@
                 Standing s;
                 s.destination = in.number<std::uint64_t>();
                 s.down = in.number<std::uint64_t>() == 1;
-                s.coldSince = in.number<WallMs>();
-                s.outageAt = in.number<WallMs>();
+                s.coldSince = in.number<RecordMs>();
+                s.outageAt = in.number<RecordMs>();
                 s.told = std::max(0.0, finite(in.real()));
                 if (!in.whole()) break;
                 image.standings[s.destination] = s;
@@ -227,7 +227,7 @@
     unlink((path_ + ".new").c_str());
 }
 
-Loaded File::load(WallMs now) {
+Loaded File::load(RecordMs now) {
     Loaded made;
     const net::Fd fd(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
     if (!fd) {
@@ -268,7 +268,7 @@
     return true;
 }
 
-bool File::replace(const std::vector<std::string>& records, const std::string& last, WallMs now,
+bool File::replace(const std::vector<std::string>& records, const std::string& last, RecordMs now,
                    std::size_t& left) {
     const auto fresh = path_ + ".new";
     net::Fd file(open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
--- a/src/kept/kept.hpp
+++ b/src/kept/kept.hpp
@@ -16,22 +16,22 @@
 
 namespace laurelhaven::kept {
 
-using trust::WallMs;
+using trust::RecordMs;
 
 /// What a later life ought to know of a destination.
 struct Standing {
     std::uint64_t destination = 0;
-    bool down = false;     ///< in an outage when it was written
-    WallMs coldSince = 0;  ///< when its last outage ended, while it may still be cold; 0: it is not
-    WallMs outageAt = 0;   ///< when an outage was last seen; 0: never
-    double told = 0;       ///< its limit in calls a second; 0: not known
+    bool down = false;       ///< in an outage when it was written
+    RecordMs coldSince = 0;  ///< when its last outage ended, while it may still be cold; 0: it is not
+    RecordMs outageAt = 0;   ///< when an outage was last seen; 0: never
+    double told = 0;         ///< its limit in calls a second; 0: not known
     bool operator==(const Standing&) const = default;
 };
 
 /// All that a file holds.
 struct Image {
-    std::string sender;    ///< whose it is
-    WallMs writtenAt = 0;  ///< the last time anything was written
+    std::string sender;      ///< whose it is
+    RecordMs writtenAt = 0;  ///< the last time anything was written
     std::uint64_t index = 0, epoch = 0;
     trust::Churn churn;
     std::map<std::string, membership::Entry, std::less<>> entries;
@@ -51,13 +51,13 @@
 };
 
 /// Pure: the bytes of a file into values. Never throws, whatever the bytes are. `sender` empty: anybody's.
-Loaded read(std::string_view bytes, const std::string& sender, WallMs now);
+Loaded read(std::string_view bytes, const std::string& sender, RecordMs now);
 
 // One record each, framed.
-std::string header(const std::string& sender, WallMs now);
+std::string header(const std::string& sender, RecordMs now);
 std::string record(const membership::Entry& entry);
 std::string removal(const std::string& endpoint);
-std::string mark(std::uint64_t index, std::uint64_t epoch, const trust::Churn& churn, WallMs now);
+std::string mark(std::uint64_t index, std::uint64_t epoch, const trust::Churn& churn, RecordMs now);
 std::string record(const Standing& standing);
 
 /// The file itself. Calls are made by one thread at a time.
@@ -65,13 +65,13 @@
   public:
     /// The file and the copy that replaces it stay inside `budget` bytes together.
     File(const std::string& folder, std::uint64_t budget, std::string sender);
-    Loaded load(WallMs now);
+    Loaded load(RecordMs now);
     /// Adds records to the file. False where they have no room or could not be written: write it anew.
     bool append(std::string_view records);
     /// Replaces the file. Records are given in the order of their worth; those without room are left out, and
     /// their number is returned in `left`; `last` is always written. False where it could not be written; the
     /// old file stays then.
-    bool replace(const std::vector<std::string>& records, const std::string& last, WallMs now,
+    bool replace(const std::vector<std::string>& records, const std::string& last, RecordMs now,
                  std::size_t& left);
     /// Worth writing anew: over half of it is out of date, or nearly full.
     bool stale() const { return size_ > 2 * fresh_ + kSlack || size_ > most_ - most_ / 8; }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,7 @@
 #include <thread>
 #include <vector>
 
+#include "clock/record_clock.hpp"
 #include "commands/list.hpp"
 #include "commands/trace.hpp"
 #include "config/config.hpp"
@@ -111,6 +112,7 @@
 
     // The list and the journal share the folder, both with the copies that replace them.
     const auto listBytes = own.roster.keep ? kept::share(config.diskBytes, own.roster.diskShare) : 0;
+    clock::RecordClock recordClock(config.state);
     store::Positions positions{config.classes, config.tenants, {}};
     for (const auto& g : config.settings.grades) positions.effects.push_back(static_cast<int>(g.effect));
     store::Journal store(config.state, config.diskBytes - listBytes, std::move(positions));
@@ -135,11 +137,12 @@
          [&](std::uint64_t destination) { list->wanted(destination); },
          [&](const decisions::HandIn& message, const decisions::Verdict& verdict) {
              capture.arrived(message, verdict);
-         }});
+         }},
+        recordClock);
     delivery::Delivery delivery(config, decisions);
     facade = &decisions;
     calls = &delivery;
-    roster::Roster roster(config, own.roster, decisions);
+    roster::Roster roster(config, own.roster, decisions, recordClock);
     list = &roster;
     registry::Registry registry(discovery, roster, own.registry, config.seed);
     front::Front front(config, decisions);
@@ -362,9 +365,7 @@
     if (list->parsed()) {
         if (file.path.empty()) file.path = fromVariable("BALANCER_STATE") + "/endpoints.list";
         file.sender = name.empty() ? fromVariable("BALANCER_NAME") : name;
-        file.now =
-            std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                .count();
+        file.now = clock::RecordClock(std::filesystem::path(file.path).parent_path().string()).now();
         // Where the platform's configuration is at hand, it says whether probes are permitted.
         if (!fromVariable("BALANCER_CONFIG").empty()) settings::fit(own, config::fromEnvironment());
         if (show->parsed()) return commands::listShow(file, own, json, std::cout, std::cerr);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -67,7 +67,7 @@
 }
 std::size_t Membership::tombstones() const { return tombstones_; }
 
-void Membership::against(Entry& entry, Against why, WallMs now, std::vector<std::string>& touched) {
+void Membership::against(Entry& entry, Against why, RecordMs now, std::vector<std::string>& touched) {
     const bool was = entry.tombstone();
     if (entry.against == Against::nothing) changes_ += 1;
     entry.against = why;
@@ -86,7 +86,7 @@
 
 // Danger: an endpoint goes and a new one takes over its address. Whoever had it before is not there any more,
 // whatever a list says that is older than the one which names the new one.
-void Membership::takeAddress(Entry& entry, WallMs now, std::vector<std::string>& touched) {
+void Membership::takeAddress(Entry& entry, RecordMs now, std::vector<std::string>& touched) {
     if (entry.is.address.empty()) return;
     auto& has = byAddress_[hashOf(entry.is.address)];
     if (has && has != &entry && !has->tombstone() && has->is.address == entry.is.address) {
@@ -119,7 +119,7 @@
     churn_ = churn;
 }
 
-void Membership::configured(const listing::Listing& list, WallMs now) {
+void Membership::configured(const listing::Listing& list, RecordMs now) {
     const bool empty = entries_.empty();
     const bool newer = empty || list.index > index_;
     std::vector<std::string> touched;
@@ -160,7 +160,7 @@
 // ---- while it runs ----
 
 /// One entry of a list of discovery. True where anything is new.
-bool Membership::tell(const listing::Endpoint& said, std::uint64_t index, WallMs now, bool lostHistory,
+bool Membership::tell(const listing::Endpoint& said, std::uint64_t index, RecordMs now, bool lostHistory,
                       std::vector<std::string>& touched) {
     Entry* has = find(said.name);
     auto told = said;
@@ -208,7 +208,7 @@
     return !same;
 }
 
-Heard Membership::heard(const listing::Listing& list, WallMs now) {
+Heard Membership::heard(const listing::Listing& list, RecordMs now) {
     Heard result;
     watched(now);
     const bool lower = list.index < index_;
@@ -268,7 +268,7 @@
     return result;
 }
 
-void Membership::alive(WallMs now, bool verified) {
+void Membership::alive(RecordMs now, bool verified) {
     if (verified && !live_) {
         live_ = true;
         for (const auto& entry : entries_)
@@ -279,7 +279,7 @@
     aliveAt_ = std::max(aliveAt_, now);
 }
 
-void Membership::lost(WallMs now) {
+void Membership::lost(RecordMs now) {
     if (!live_) return;
     watched(now);
     live_ = false;
@@ -293,14 +293,14 @@
 }
 
 /// What was watched since the last time teaches how long entries live.
-void Membership::watched(WallMs now) {
+void Membership::watched(RecordMs now) {
     if (live_ && watchedAt_ > 0 && now > watchedAt_)
         churn_.saw(static_cast<double>(present_), milliseconds(now - watchedAt_), changes_);
     watchedAt_ = now;
     changes_ = 0;
 }
 
-void Membership::answered(const std::string& endpoint, Source by, WallMs now, double calls) {
+void Membership::answered(const std::string& endpoint, Source by, RecordMs now, double calls) {
     Entry* entry = find(endpoint);
     if (!entry || entry->tombstone()) return;
     entry->answered = true;
@@ -310,7 +310,7 @@
     entry->by = by;
 }
 
-bool Membership::contradict(const std::string& endpoint, Against why, WallMs now) {
+bool Membership::contradict(const std::string& endpoint, Against why, RecordMs now) {
     Entry* entry = find(endpoint);
     if (!entry || entry->tombstone() || (live_ && entry->named)) return false;
     std::vector<std::string> touched;
@@ -318,7 +318,7 @@
     return true;
 }
 
-std::vector<std::string> Membership::expire(WallMs now) {
+std::vector<std::string> Membership::expire(RecordMs now) {
     std::vector<std::string> touched;
     for (const auto& entry : entries_) {
         if (!entry->heldBack || now - entry->againstAt <= policy_.shrinkHold.count()) continue;
@@ -330,8 +330,8 @@
     return touched;
 }
 
-void Membership::prune(WallMs now, std::vector<std::string>& touched) {
-    std::vector<std::pair<WallMs, std::string>> graves;
+void Membership::prune(RecordMs now, std::vector<std::string>& touched) {
+    std::vector<std::pair<RecordMs, std::string>> graves;
     for (const auto& entry : entries_)
         if (entry->tombstone()) graves.emplace_back(entry->againstAt, entry->is.name);
     std::sort(graves.begin(), graves.end());
@@ -358,7 +358,7 @@
     return e;
 }
 
-trust::Judgement Membership::judge(const Entry& entry, WallMs now) const {
+trust::Judgement Membership::judge(const Entry& entry, RecordMs now) const {
     return trust::judge(evidence(entry), policy_.trust, halfLife(), now);
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -22,7 +22,7 @@
 namespace laurelhaven::membership {
 
 using std::chrono::milliseconds;
-using trust::WallMs;
+using trust::RecordMs;
 
 struct Policy {
     trust::Policy trust;
@@ -38,10 +38,10 @@
 struct Entry {
     listing::Endpoint is;     ///< as it was told last
     std::uint64_t index = 0;  ///< of the list that told it, in discovery's numbering
-    WallMs firstTold = 0;
-    WallMs confirmedAt = 0;  ///< but see Membership::evidence() while discovery is heard
-    WallMs againstAt = 0;    ///< since when something speaks against it
-    double traffic = 0;      ///< calls it delivered, as far as remembered
+    RecordMs firstTold = 0;
+    RecordMs confirmedAt = 0;  ///< but see Membership::evidence() while discovery is heard
+    RecordMs againstAt = 0;    ///< since when something speaks against it
+    double traffic = 0;        ///< calls it delivered, as far as remembered
     trust::Source by = trust::Source::configuration;
     trust::Against against = trust::Against::nothing;
     bool named = false;     ///< discovery named it, or stood by it, on the stream that is heard now
@@ -85,24 +85,24 @@
     void restore(std::uint64_t index, std::uint64_t epoch, const trust::Churn& churn);
     /// The list of the configuration. A newer index than the kept one's replaces it; an older one adds only
     /// what no kept list could have known to be gone.
-    void configured(const listing::Listing& list, WallMs now);
+    void configured(const listing::Listing& list, RecordMs now);
 
     // -- while it runs --
-    Heard heard(const listing::Listing& list, WallMs now);
+    Heard heard(const listing::Listing& list, RecordMs now);
     /// Discovery is heard, and has nothing new. `verified`: its numbering is known to be ours.
-    void alive(WallMs now, bool verified);
+    void alive(RecordMs now, bool verified);
     /// The stream ended: from now on entries age.
-    void lost(WallMs now);
+    void lost(RecordMs now);
     /// A call was delivered, or a probe answered, there.
-    void answered(const std::string& endpoint, trust::Source by, WallMs now, double calls = 1);
+    void answered(const std::string& endpoint, trust::Source by, RecordMs now, double calls = 1);
     /// What answered at the address is not the endpoint. Passed over while discovery stands by it.
-    bool contradict(const std::string& endpoint, trust::Against against, WallMs now);
+    bool contradict(const std::string& endpoint, trust::Against against, RecordMs now);
     /// Ends what is only held for a time. Returns the endpoints touched.
-    std::vector<std::string> expire(WallMs now);
+    std::vector<std::string> expire(RecordMs now);
 
     // -- looking --
     trust::Evidence evidence(const Entry& entry) const;
-    trust::Judgement judge(const Entry& entry, WallMs now) const;
+    trust::Judgement judge(const Entry& entry, RecordMs now) const;
     milliseconds halfLife() const { return churn_.halfLife(policy_.trust); }
     const Entry* find(const std::string& endpoint) const;
     Entry* find(const std::string& endpoint);
@@ -114,19 +114,19 @@
     std::uint64_t epoch() const { return epoch_; }
     const trust::Churn& churn() const { return churn_; }
     bool live() const { return live_; }
-    WallMs aliveAt() const { return aliveAt_; }
+    RecordMs aliveAt() const { return aliveAt_; }
 
   private:
     Entry& at(const listing::Endpoint& told);
     void drop(const std::string& endpoint);
-    bool tell(const listing::Endpoint& said, std::uint64_t index, WallMs now, bool lostHistory,
+    bool tell(const listing::Endpoint& said, std::uint64_t index, RecordMs now, bool lostHistory,
               std::vector<std::string>& touched);
-    void against(Entry& entry, trust::Against why, WallMs now, std::vector<std::string>& touched);
-    void takeAddress(Entry& entry, WallMs now, std::vector<std::string>& touched);
+    void against(Entry& entry, trust::Against why, RecordMs now, std::vector<std::string>& touched);
+    void takeAddress(Entry& entry, RecordMs now, std::vector<std::string>& touched);
     void leave(const Entry& entry);
     void vacate(const Entry& entry);
-    void prune(WallMs now, std::vector<std::string>& touched);
-    void watched(WallMs now);
+    void prune(RecordMs now, std::vector<std::string>& touched);
+    void watched(RecordMs now);
 
     Policy policy_;
     Entries entries_;
@@ -138,7 +138,7 @@
     std::uint64_t index_ = 0, epoch_ = 0;
     bool live_ = false;       // discovery is heard, in our numbering
     bool heardOnce_ = false;  // a list of discovery was merged in this life
-    WallMs aliveAt_ = 0, watchedAt_ = 0;
+    RecordMs aliveAt_ = 0, watchedAt_ = 0;
     double changes_ = 0;  // since watchedAt_
     std::size_t present_ = 0, tombstones_ = 0;
 };
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -12,8 +12,8 @@
 
 using trust::Against;
 using trust::Level;
+using trust::RecordMs;
 using trust::Source;
-using trust::WallMs;
 
 constexpr milliseconds kNotice{1000};      // word of deliveries is taken in at most so often
 constexpr milliseconds kLeastJudge{1000};  // time alone is looked at at most so often
@@ -21,11 +21,6 @@
 constexpr double kTrafficFade = 0.5;       // of the past traffic, at each start
 constexpr std::size_t kMostProbeAnswer = 16 * 1024;
 
-WallMs wallNow() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(now).count();
-}
-
 /// The entry as the facade is told of it.
 listing::Endpoint offered(const membership::Entry& entry) {
     auto told = entry.is;
@@ -45,10 +40,12 @@
 
 }  // namespace
 
-Roster::Roster(const config::Config& config, const Options& options, decisions::Decisions& decisions)
+Roster::Roster(const config::Config& config, const Options& options, decisions::Decisions& decisions,
+               clock::RecordClock& recordClock)
     : config_(config),
       options_(options),
       decisions_(decisions),
+      recordClock_(recordClock),
       list_(options.membership),
       probes_(options.probes, config.seed ^ 0x9e3779b97f4a7c15) {
     if (options_.keep)
@@ -58,7 +55,7 @@
 
 // ---- the start ----
 
-void Roster::readKept(WallMs now) {
+void Roster::readKept(RecordMs now) {
     auto loaded = file_->load(now);
     if (loaded.state == kept::State::absent) return;
     if (loaded.state != kept::State::good)
@@ -75,7 +72,7 @@
         entry.traffic *= kTrafficFade;
         list_.restore(std::move(entry));
     }
-    const milliseconds absence(std::max<WallMs>(0, now - image.writtenAt));
+    const milliseconds absence(std::max<RecordMs>(0, now - image.writtenAt));
     longAbsence_ = loaded.ahead || absence > options_.membership.trust.confirmedFor;
     (log::info() << "kept list: read")
         .kv("entries", image.entries.size())
@@ -90,7 +87,7 @@
         standings_[destination] = s;
         decisions::Standing standing{destination, false, {}, s.told, false, false};
         standing.down = s.down && now - s.outageAt <= options_.outageMemory.count();
-        const milliseconds cold(std::max<WallMs>(0, now - s.coldSince));
+        const milliseconds cold(std::max<RecordMs>(0, now - s.coldSince));
         if (s.coldSince > 0 && cold < warmUp) standing.sinceCold = cold;
         if (standing.down || standing.sinceCold || standing.told > 0) told.push_back(standing);
     }
@@ -99,7 +96,7 @@
 
 void Roster::begin() {
     const std::lock_guard lock(work_);
-    const auto now = wallNow();
+    const auto now = recordClock_.now();
     if (file_) readKept(now);
     const auto before = list_.entries().size();
     list_.configured(config_.known, now);
@@ -133,13 +130,13 @@
     stop_.request_stop();
     thread_.join();
     const std::lock_guard lock(work_);
-    if (file_ && begun_) write(wallNow());
+    if (file_ && begun_) write(recordClock_.now());
     begun_ = false;
 }
 
 // ---- judging and offering ----
 
-void Roster::judge(membership::Entry& entry, WallMs now, std::vector<listing::Endpoint>& news) {
+void Roster::judge(membership::Entry& entry, RecordMs now, std::vector<listing::Endpoint>& news) {
     const auto judged = list_.judge(entry, now);
     const auto before = offered(entry).status;
     entry.shown = judged.level;
@@ -188,7 +185,7 @@
     decisions_.report(list, saved);
 }
 
-void Roster::judgeAll(WallMs now) {
+void Roster::judgeAll(RecordMs now) {
     judgeAt_ = Steady::time_point::max();
     std::vector<listing::Endpoint> news;
     std::unordered_set<std::uint64_t> destinations;
@@ -200,7 +197,7 @@
     tell(destinations, std::move(news));
 }
 
-void Roster::judgeSome(const std::vector<std::string>& endpoints, WallMs now) {
+void Roster::judgeSome(const std::vector<std::string>& endpoints, RecordMs now) {
     std::vector<listing::Endpoint> news;
     std::unordered_set<std::uint64_t> destinations;
     for (const auto& name : endpoints) {
@@ -234,7 +231,7 @@
 }
 
 membership::Heard Roster::merge(const listing::Listing& list) {
-    const auto now = wallNow();
+    const auto now = recordClock_.now();
     auto result = list_.heard(list, now);
     using Kind = membership::Heard::Kind;
     if (result.kind == Kind::lostHistory)
@@ -253,21 +250,21 @@
 void Roster::verified() {
     const std::lock_guard lock(work_);
     const bool was = list_.live();
-    list_.alive(wallNow(), true);
-    if (!was) judgeAll(wallNow());
+    list_.alive(recordClock_.now(), true);
+    if (!was) judgeAll(recordClock_.now());
 }
 
 void Roster::beat() {
     const std::lock_guard lock(work_);
-    list_.alive(wallNow(), false);
+    list_.alive(recordClock_.now(), false);
 }
 
 void Roster::lost() {
     const std::lock_guard lock(work_);
     if (!list_.live()) return;
-    list_.lost(wallNow());
+    list_.lost(recordClock_.now());
     markAt_ = {};
-    judgeAll(wallNow());
+    judgeAll(recordClock_.now());
     const std::lock_guard in(inbox_);
     wake_.notify_all();
 }
@@ -297,7 +294,7 @@
 }
 
 void Roster::takeWord(std::unordered_map<std::string, Word> word) {
-    const auto now = wallNow();
+    const auto now = recordClock_.now();
     std::vector<std::string> touched;
     for (const auto& [endpoint, one] : word) {
         if (one.delivered > 0) {
@@ -408,7 +405,7 @@
         doubted_.insert(entry->is.group);
         decisions_.report({decisions::Standing{entry->is.group, false, {}, 0, true, true}});
     }
-    const auto now = wallNow();
+    const auto now = recordClock_.now();
     std::vector<std::string> touched{endpoint};
     if (good) {
         ++probesAnswered_;
@@ -429,7 +426,7 @@
 }
 
 /// The standings that differ from what is on disk by more than chance.
-std::vector<kept::Standing> Roster::changedStandings(WallMs now) {
+std::vector<kept::Standing> Roster::changedStandings(RecordMs now) {
     std::unordered_map<std::uint64_t, kept::Standing> fresh;
     for (const auto& s : decisions_.standings()) {
         kept::Standing one{s.destination, s.down, 0, 0, s.told};
@@ -461,9 +458,13 @@
     return changed;
 }
 
-void Roster::write(WallMs now) {
+void Roster::write(RecordMs now) {
     writeAt_ = {};
     writtenAt_ = Steady::now();
+    if (!recordClock_.persist()) {  // its times would mean nothing to a later life
+        writeAt_ = Steady::now() + options_.writeEvery;
+        return;
+    }
     std::string records;
     for (const auto& s : changedStandings(now)) records += kept::record(s);
     for (const auto& name : dirty_) {
@@ -480,7 +481,7 @@
     if (rewrite_ || file_->stale() || !file_->append(records)) writeAnew(now);
 }
 
-void Roster::writeAnew(WallMs now) {
+void Roster::writeAnew(RecordMs now) {
     // In the order of worth, where there is not room for all: what is in trouble, who gets most of the
     // traffic, and who must not be called any more.
     std::vector<const membership::Entry*> order;
@@ -518,12 +519,13 @@
             const std::lock_guard lock(work_);
             const auto now = Steady::now();
             if (now >= judgeAt_) {
-                judgeSome(list_.expire(wallNow()), wallNow());
-                judgeAll(wallNow());
+                judgeSome(list_.expire(recordClock_.now()), recordClock_.now());
+                judgeAll(recordClock_.now());
             }
             const bool mark =
                 file_ && list_.live() && now >= markAt_ && now >= writtenAt_ + options_.writeEvery;
-            if (file_ && (mark || (writeAt_ != Steady::time_point{} && now >= writeAt_))) write(wallNow());
+            if (file_ && (mark || (writeAt_ != Steady::time_point{} && now >= writeAt_)))
+                write(recordClock_.now());
             if (!stale_.empty()) {
                 const auto waiting = candidates();
                 probes_.forget(waiting);
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -14,6 +14,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "clock/record_clock.hpp"
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
 #include "kept/kept.hpp"
@@ -41,13 +42,14 @@
 
 class Roster {
   public:
-    Roster(const config::Config& config, const Options& options, decisions::Decisions& decisions);
+    Roster(const config::Config& config, const Options& options, decisions::Decisions& decisions,
+           clock::RecordClock& recordClock = clock::ofProcess());
     ~Roster() { stop(); }
 
     /// Reads the kept list and offers what it and the configuration give. Before anything else.
     void begin();
     /// Up to when the kept list knew of outages: what was seen later is not in it. 0 without a list.
-    trust::WallMs healthKnownUntil() const { return healthKnownUntil_; }
+    trust::RecordMs healthKnownUntil() const { return healthKnownUntil_; }
     void start();
     /// Writes what is not yet written.
     void stop();
@@ -84,10 +86,10 @@
 
     membership::Heard merge(const listing::Listing& list);
     void run();
-    void readKept(trust::WallMs now);
-    void judge(membership::Entry& entry, trust::WallMs now, std::vector<listing::Endpoint>& news);
-    void judgeAll(trust::WallMs now);
-    void judgeSome(const std::vector<std::string>& endpoints, trust::WallMs now);
+    void readKept(trust::RecordMs now);
+    void judge(membership::Entry& entry, trust::RecordMs now, std::vector<listing::Endpoint>& news);
+    void judgeAll(trust::RecordMs now);
+    void judgeSome(const std::vector<std::string>& endpoints, trust::RecordMs now);
     void tell(const std::unordered_set<std::uint64_t>& destinations, std::vector<listing::Endpoint> news,
               bool saved = false);
     void weighDoubts(const std::unordered_set<std::uint64_t>& destinations,
@@ -97,13 +99,14 @@
     void probe(const std::string& endpoint);
     bool mayProbe(const std::string& endpoint, const std::string& at) const;
     void dirty(const std::string& endpoint);
-    void write(trust::WallMs now);
-    std::vector<kept::Standing> changedStandings(trust::WallMs now);
-    void writeAnew(trust::WallMs now);
+    void write(trust::RecordMs now);
+    std::vector<kept::Standing> changedStandings(trust::RecordMs now);
+    void writeAnew(trust::RecordMs now);
 
     const config::Config& config_;
     Options options_;
     decisions::Decisions& decisions_;
+    clock::RecordClock& recordClock_;
 
     mutable std::mutex work_;  // the list; held while the facade is told, never the other way round
     membership::Membership list_;
@@ -112,7 +115,7 @@
     std::unordered_set<std::string> stale_, dirty_;
     std::unordered_set<std::uint64_t> doubted_;
     std::unordered_map<std::uint64_t, kept::Standing> standings_;  // as written
-    trust::WallMs healthKnownUntil_ = 0;
+    trust::RecordMs healthKnownUntil_ = 0;
     bool longAbsence_ = false, begun_ = false, rewrite_ = true;
     Steady::time_point judgeAt_{}, writeAt_{}, markAt_{}, writtenAt_{};
     std::uint64_t probesAnswered_ = 0, writes_ = 0;
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -24,7 +24,7 @@
 constexpr std::uint64_t kMargin = 8 * kBlock;  // two files, and what the folder may count besides
 // Kept back for each live message, so that its attempts and its end always find room.
 constexpr std::uint64_t kReserve = 256;
-constexpr WallMs kLongAgo = 1;
+constexpr RecordMs kLongAgo = 1;
 constexpr std::uint64_t kStale = 256 * 1024;  // records of what is over, beyond which a fresh file is written
 constexpr std::chrono::milliseconds kCompactPause{200};  // after a compaction that failed
 // At a start what is owed must be read: a failing folder is asked again for so long, in such steps.
@@ -190,19 +190,19 @@
                 m.tenant = at(positions_.tenants, in.number<std::uint64_t>());
                 firstForm_ = true;
             }
-            m.deadline = in.number<WallMs>();
+            m.deadline = in.number<RecordMs>();
             m.attempts = in.number<std::uint32_t>();
             m.failures = in.number<std::uint32_t>();
             m.out = in.number<int>() != 0;
-            m.ranAt = in.number<WallMs>();
-            m.sentAt = in.number<WallMs>();
+            m.ranAt = in.number<RecordMs>();
+            m.sentAt = in.number<RecordMs>();
             m.body = std::make_shared<const std::string>(in.text());
             if (in.whole()) return remember(std::move(live));
             break;
         }
         case kAttempt: {
             const auto id = in.text();
-            const auto sentAt = in.number<WallMs>();
+            const auto sentAt = in.number<RecordMs>();
             if (!in.whole()) break;
             if (const auto it = live_.find(id); it != live_.end()) {
                 Taken& m = it->second->message;
@@ -375,7 +375,7 @@
     return append(payload);
 }
 
-bool Journal::attempt(const std::string& id, WallMs at) {
+bool Journal::attempt(const std::string& id, RecordMs at) {
     return append(Writer(kAttempt).text(id).number(at).take());
 }
 void Journal::unsent(const std::string& id) { tell(Writer(kUnsent).text(id).take()); }
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -34,7 +34,7 @@
 
     Recovered recover() override;
     bool take(const Taken& message) override;
-    bool attempt(const std::string& id, WallMs at) override;
+    bool attempt(const std::string& id, RecordMs at) override;
     void unsent(const std::string& id) override;
     void outcome(const std::string& id, bool mayHaveRun, bool failed) override;
     void done(const std::string& id) override;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -9,7 +9,7 @@
 
 namespace laurelhaven::store {
 
-using WallMs = std::int64_t;  ///< Unix time in milliseconds: it spans restarts
+using RecordMs = std::int64_t;  ///< milliseconds on the time line of src/clock: it spans restarts
 
 /// A message as it was taken on, with what its attempts have come to.
 struct Taken {
@@ -18,13 +18,13 @@
     /// By name: a later life may list them in another order. Empty: not known any more.
     std::string grade, tenant;
     int effect = 0;  ///< of its class when it was taken: 0 may be repeated, 1 by its key, 2 may not
-    WallMs deadline = 0;
+    RecordMs deadline = 0;
     std::shared_ptr<const std::string> body;
     std::uint32_t attempts = 0;
     std::uint32_t failures = 0;  ///< attempts known to have failed, not merely been turned away
     bool out = false;            ///< an attempt has no outcome on record: it may have run
-    WallMs ranAt = 0;            ///< when the first attempt that may have run was sent; 0: none has
-    WallMs sentAt = 0;           ///< when the last one was
+    RecordMs ranAt = 0;          ///< when the first attempt that may have run was sent; 0: none has
+    RecordMs sentAt = 0;         ///< when the last one was
 };
 
 enum class End { failed, returned };
@@ -53,7 +53,7 @@
     /// False: there is no room for it, or it could not be written; then it is not on record.
     virtual bool take(const Taken& message) = 0;
     /// Before the first byte of a call. False: it could not be written, so the call must not go out.
-    virtual bool attempt(const std::string& id, WallMs at) = 0;
+    virtual bool attempt(const std::string& id, RecordMs at) = 0;
     /// The attempt on record never left, and its call goes on: it was none.
     virtual void unsent(const std::string& id) = 0;
     virtual void outcome(const std::string& id, bool mayHaveRun, bool failed) = 0;
--- a/src/trust/trust.cpp
+++ b/src/trust/trust.cpp
@@ -55,7 +55,7 @@
         1000 * std::clamp(learnt, secondsOf(policy.halfLifeLeast), secondsOf(policy.halfLifeMost))));
 }
 
-Judgement judge(const Evidence& evidence, const Policy& policy, milliseconds halfLife, WallMs now) {
+Judgement judge(const Evidence& evidence, const Policy& policy, milliseconds halfLife, RecordMs now) {
     Judgement made;
     const bool ahead = evidence.confirmedAt > now;
     const bool undated = ahead || evidence.by == Source::configuration;
--- a/src/trust/trust.hpp
+++ b/src/trust/trust.hpp
@@ -8,7 +8,7 @@
 
 namespace laurelhaven::trust {
 
-using WallMs = std::int64_t;  ///< Unix time in milliseconds: ages span restarts
+using RecordMs = std::int64_t;  ///< milliseconds on the time line of src/clock: ages span restarts
 using std::chrono::milliseconds;
 
 /// Who confirmed an entry last.
@@ -40,7 +40,7 @@
 };
 
 struct Evidence {
-    WallMs confirmedAt = 0;
+    RecordMs confirmedAt = 0;
     Source by = Source::configuration;
     Against against = Against::nothing;
     bool live = false;      ///< discovery is heard now, and names it
@@ -55,7 +55,7 @@
     milliseconds age{};       ///< since the confirmation; 0 where that lies in the future
     bool probeFirst = false;  ///< nothing before a probe, whatever the level: what befell it went unseen
     bool oneByOne = false;    ///< ageing in the place of a probe: the destination is in doubt
-    WallMs until = 0;         ///< when time alone changes the level; 0: never
+    RecordMs until = 0;       ///< when time alone changes the level; 0: never
 };
 
 /// The half-life of an entry in a fleet, learnt from how many entries changed in how long. The posterior mean
@@ -76,7 +76,7 @@
 
 /// A clock that was set back makes a confirmation lie in the future: its age is unknown then, and the entry
 /// is judged as if it were as old as a list in the configuration.
-Judgement judge(const Evidence& evidence, const Policy& policy, milliseconds halfLife, WallMs now);
+Judgement judge(const Evidence& evidence, const Policy& policy, milliseconds halfLife, RecordMs now);
 
 /// One sentence for people: why, and what would change it.
 std::string explain(const Evidence& evidence, const Judgement& judgement, const Policy& policy,
--- a/tests/fuzz/kept_fuzz.cpp
+++ b/tests/fuzz/kept_fuzz.cpp
@@ -5,7 +5,7 @@
 using namespace laurelhaven;
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-    constexpr trust::WallMs kNow = 1'800'000'000'000;
+    constexpr trust::RecordMs kNow = 1'800'000'000'000;
     auto loaded = kept::read({reinterpret_cast<const char*>(data), size}, "", kNow);
     membership::Membership list({});
     list.restore(loaded.image.index, loaded.image.epoch, loaded.image.churn);
--- a/tests/fuzz/registry_fuzz.cpp
+++ b/tests/fuzz/registry_fuzz.cpp
@@ -13,7 +13,7 @@
 }
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-    trust::WallMs now = 1'800'000'000'000;
+    trust::RecordMs now = 1'800'000'000'000;
     if (size == 0) return 0;
     const bool chunked = data[0] & 1;  // as the stream comes, or the lines alone
     const std::size_t step = 1 + (data[0] >> 1) % 64;
--- a/tests/kept/kept_test.cpp
+++ b/tests/kept/kept_test.cpp
@@ -17,9 +17,9 @@
 namespace {
 
 using namespace laurelhaven;
-using trust::WallMs;
+using trust::RecordMs;
 
-constexpr WallMs kNow = 1'800'000'000'000;
+constexpr RecordMs kNow = 1'800'000'000'000;
 constexpr std::uint64_t kBudget = 64 * 1024;
 
 membership::Entry entry(int i, trust::Against against = trust::Against::nothing) {
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -26,7 +26,7 @@
     bool room = true;
     store::Recovered recover() override { return {}; }
     bool take(const store::Taken& m) override { return room && live.insert(m.id).second; }
-    bool attempt(const std::string&, store::WallMs) override { return ++attempts, room; }
+    bool attempt(const std::string&, store::RecordMs) override { return ++attempts, room; }
     void unsent(const std::string&) override { ++unsents; }
     void outcome(const std::string&, bool, bool) override { ++outcomes; }
     void done(const std::string& id) override { CHECK(live.erase(id) == 1); }
@@ -204,7 +204,7 @@
     CHECK(rig.ends.size() == 2 && rig.ends[1].id == "hung" && rig.facade.held() == 0);
 }
 
-store::Taken left(const std::string& id, store::WallMs within, std::uint32_t attempts, store::WallMs ranAgo) {
+store::Taken left(const std::string& id, store::RecordMs within, std::uint32_t attempts, store::RecordMs ranAgo) {
     const auto now =
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     store::Taken m;
@@ -243,7 +243,7 @@
 // Failures on record make an outage after a restart, unless what the last life knew of outages was kept: they
 // may be long ago.
 void failuresThatWereKnownDoNotCountTwice() {
-    const auto down = [](store::WallMs knownFor) {
+    const auto down = [](store::RecordMs knownFor) {
         Rig rig;
         std::vector<store::Taken> all;
         for (int i = 0; i < 3; ++i) {
--- a/tests/laurelhaven/journal_test.cpp
+++ b/tests/laurelhaven/journal_test.cpp
@@ -89,7 +89,7 @@
     });
     life([](Journal& journal, const Recovered& found) {
         CHECK(found.messages.size() == 1 && found.messages[0].out);
-        for (const WallMs at : {200, 300}) {  // turned away, twice
+        for (const RecordMs at : {200, 300}) {  // turned away, twice
             CHECK(journal.attempt("m", at));
             journal.outcome("m", false, false);
         }
--- a/tests/laurelhaven/no_store.hpp
+++ b/tests/laurelhaven/no_store.hpp
@@ -10,7 +10,7 @@
 struct NoStore : laurelhaven::store::Store {
     laurelhaven::store::Recovered recover() override { return {}; }
     bool take(const laurelhaven::store::Taken&) override { return true; }
-    bool attempt(const std::string&, laurelhaven::store::WallMs) override { return true; }
+    bool attempt(const std::string&, laurelhaven::store::RecordMs) override { return true; }
     void unsent(const std::string&) override {}
     void outcome(const std::string&, bool, bool) override {}
     void done(const std::string&) override {}
--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -549,7 +549,7 @@
         const std::lock_guard lock(mutex);
         return order;
     }
-    bool attempt(const std::string&, store::WallMs) override {
+    bool attempt(const std::string&, store::RecordMs) override {
         if (onAttempt) onAttempt(++attempts);
         add('a');
         return true;
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -17,9 +17,9 @@
 using std::chrono::milliseconds;
 using trust::Against;
 using trust::Level;
-using trust::WallMs;
+using trust::RecordMs;
 
-constexpr WallMs kNow = 1'800'000'000'000;
+constexpr RecordMs kNow = 1'800'000'000'000;
 
 listing::Endpoint endpoint(const std::string& name, const std::string& address, std::uint64_t group = 1,
                            Status status = Status::serving) {
@@ -45,11 +45,11 @@
     if (against != Against::nothing) e.againstAt = e.confirmedAt;
     return e;
 }
-Level level(const Membership& m, const std::string& name, WallMs now = kNow) {
+Level level(const Membership& m, const std::string& name, RecordMs now = kNow) {
     const auto* e = m.find(name);
     return e ? m.judge(*e, now).level : Level::refuted;
 }
-bool usable(const Membership& m, const std::string& name, WallMs now = kNow) {
+bool usable(const Membership& m, const std::string& name, RecordMs now = kNow) {
     const auto l = level(m, name, now);
     return l == Level::confirmed || l == Level::ageing;
 }
@@ -205,7 +205,7 @@
     policy.tombstones = 20;
     Membership m(policy);
     std::uint64_t index = 1;
-    WallMs now = kNow;
+    RecordMs now = kNow;
     for (int i = 0; i < 500; ++i) {
         const auto name = "e" + std::to_string(i);
         m.heard(list(++index, false, {endpoint(name, "127.0.0.1:1")}), now);
@@ -228,9 +228,9 @@
         Membership m({});
         std::map<std::string, bool> gone;  // as discovery said last
         std::uint64_t index = 10;
-        WallMs now = kNow;
+        RecordMs now = kNow;
         for (int step = 0; step < 60; ++step) {
-            now += static_cast<WallMs>(below(5000));
+            now += static_cast<RecordMs>(below(5000));
             const auto name = "e" + std::to_string(below(8));
             const auto at = "127.0.0.1:" + std::to_string(100 + below(10));
             const auto draw = below(10);
--- a/tests/trust/trust_test.cpp
+++ b/tests/trust/trust_test.cpp
@@ -13,7 +13,7 @@
 using namespace laurelhaven::trust;
 using namespace std::chrono_literals;
 
-constexpr WallMs kNow = 1'800'000'000'000;
+constexpr RecordMs kNow = 1'800'000'000'000;
 constexpr milliseconds kHalf = 6h;
 
 Evidence seen(milliseconds ago, Source by = Source::discovery) {
