--- /dev/null
+++ b/tests/roster/drain_memory_test.cpp
@@ -0,0 +1,82 @@
+// What discovery has told is remembered from that moment on: a process that is killed right behind it comes
+// back without discovery, and still knows.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "check.hpp"
+#include "config/config.hpp"
+#include "log/log.hpp"
+#include "no_store.hpp"
+#include "roster/roster.hpp"
+#include "threads/thread.hpp"
+
+namespace {
+
+using namespace laurelhaven;
+
+listing::Endpoint endpoint(const std::string& name, std::uint64_t destination, listing::Status status) {
+    return {name, "127.0.0.1:" + std::to_string(1000 + destination), "z", "big", destination, status, 50, 0};
+}
+
+config::Config configFor(const std::string& state) {
+    // The list that the sender was configured with, long ago.
+    const auto known = check::entry("a", "127.0.0.1:1007", 7) + "," + check::entry("b", "127.0.0.1:1008", 8);
+    return config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", known, check::settings()),
+                            {{"BALANCER_STATE", state}});
+}
+
+decisions::HandIn messageFor(std::uint64_t destination) {
+    const auto id = "for-" + std::to_string(destination);
+    return {id,
+            "key-" + id,
+            destination,
+            0,
+            0,
+            decisions::Steady::now() + std::chrono::seconds(20),
+            std::make_shared<const std::string>("body")};
+}
+
+class DrainMemory : public testing::TestWithParam<listing::Status> {};
+
+TEST_P(DrainMemory, ADrainIsOnDiskOnceItHasBeenHeard) {
+    log::setLevel(log::Level::off);
+    const check::Folder folder, left;
+    check::NoStore store;
+    const auto config = configFor(folder.path);
+    decisions::Decisions facade(config, store, {});
+    roster::Roster roster(config, {}, facade);
+    roster.begin();
+    roster.heard(
+        {10, true, {endpoint("a", 7, listing::Status::serving), endpoint("b", 8, listing::Status::serving)}});
+    roster.verified();
+    roster.heard({11, false, {endpoint("a", 7, GetParam())}});
+    // What lies on disk at this moment is all that a kill leaves.
+    std::filesystem::copy(folder.path, left.path, std::filesystem::copy_options::overwrite_existing);
+
+    const auto configAfter = configFor(left.path);
+    decisions::Decisions facadeAfter(configAfter, store, {});
+    roster::Roster rosterAfter(configAfter, {}, facadeAfter);
+    rosterAfter.begin();
+    facadeAfter.report(messageFor(7));
+    ASSERT_EQ(facadeAfter.report(messageFor(8)).kind, decisions::Verdict::Kind::taken);
+    // Both are in doubt at first, so the call may be due a little later.
+    threads::Thread ticker("tick", [&] {
+        while (facadeAfter.tick()) {
+        }
+    });
+    std::set<std::string> called;
+    while (!called.count("b")) called.insert(facadeAfter.pick()->endpoint);
+    EXPECT_EQ(called, std::set<std::string>{"b"}) << "a call for the endpoint that has gone is due";
+    facadeAfter.stop();
+    facade.stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, DrainMemory,
+                         testing::Values(listing::Status::draining, listing::Status::deleted),
+                         [](const auto& status) {
+                             return std::string(status.param == listing::Status::draining ? "Draining"
+                                                                                          : "Deleted");
+                         });
+
+}  // namespace
