Write down at once what ends an endpoint, and answer clients that end their sending

Cause: Roster::merge() marked what it heard and left the write to the roster's thread, up to 1 s later (10 s after a failed write); a kill in between lost the drain, and a next life without discovery called the endpoint. front::whole() took FIN behind a whole request for a client that is gone, as it took a reset, and the connection was closed with no answer.

Change: a list that ends any endpoint is written before merge() returns; a failed write is repeated after write-every. net::Unread tells an ended side from a broken connection: behind the first a whole request is answered 503 to come again (it can't be told from one that was given up, whose message would be delivered for nothing), behind the second nobody hears.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -280,6 +280,7 @@
     switch (whole(parser.leftover(), net::unread(fd), toldToGo(connection))) {
         case Whole::answer: return Next::request;
         case Whole::refuse: return refuse(400, "more follows than the request's length says\n");
+        case Whole::turnAway: return refuse(503, "come again\n");
         case Whole::leave: break;
     }
     return Next::close;
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -80,9 +80,12 @@
 // Danger: where room is short, or at a stop, we end a connection's reading ourselves. A request may have come
 // whole before that while its thread had no turn on a busy core; its client is still there, and would get no
 // answer at all.
+// Danger: a client may end its sending behind a request and wait for the answer. It can't be told from one
+// that has given up, whose message would be delivered for nothing; so it is asked to come again.
 Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo) {
     if (leftover > 0 || behind == net::Unread::bytes) return Whole::refuse;
-    return behind == net::Unread::end && !toldToGo ? Whole::leave : Whole::answer;
+    if (behind == net::Unread::broken) return Whole::leave;
+    return behind == net::Unread::end && !toldToGo ? Whole::turnAway : Whole::answer;
 }
 
 }  // namespace laurelhaven::front
--- a/src/front/intake.hpp
+++ b/src/front/intake.hpp
@@ -23,8 +23,13 @@
 std::variant<decisions::HandIn, Ready, Denied> intake(const config::Config& config, http::Message& request,
                                                       decisions::Moment came);
 
-/// What becomes of a request that has come whole: it is answered, refused, or its client has gone.
-enum class Whole { answer, refuse, leave };
+/// What becomes of a request that has come whole.
+enum class Whole {
+    answer,
+    refuse,    ///< more came than one request
+    turnAway,  ///< its client has ended its sending, and may have given up
+    leave      ///< the connection is gone: nobody would hear an answer
+};
 /// `leftover`: bytes read behind it. `behind`: what the connection holds now. `toldToGo`: we ended its
 /// reading.
 Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -137,7 +137,7 @@
         const auto got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (got > 0) return Unread::bytes;
         if (got == 0) return Unread::end;
-        if (errno != EINTR) return errno == EAGAIN || errno == EWOULDBLOCK ? Unread::nothing : Unread::end;
+        if (errno != EINTR) return errno == EAGAIN || errno == EWOULDBLOCK ? Unread::nothing : Unread::broken;
     }
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -69,7 +69,12 @@
 /// Waits for bytes or the end of the other side. False when the time is up first.
 bool waitReadable(int fd, Deadline until);
 /// What stands unread on a connection just now.
-enum class Unread { nothing, bytes, end };
+enum class Unread {
+    nothing,
+    bytes,
+    end,    ///< the other side has ended its sending
+    broken  ///< the connection is gone
+};
 Unread unread(int fd);
 /// True while a listener has a connection that nobody has accepted.
 bool waits(int listener);
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -244,6 +244,13 @@
                        << trust::span(options_.membership.shrinkHold);
     if (result.heldBack > 0) judgeAt_ = std::min(judgeAt_, Steady::now() + options_.membership.shrinkHold);
     judgeSome(result.touched, now);
+    // Danger: a process that is killed right now and comes back without discovery knows only what is on disk,
+    // and would call what has just been told to drain. Whatever ends an endpoint is written at once.
+    const bool ends = std::any_of(result.touched.begin(), result.touched.end(), [&](const auto& name) {
+        const auto* entry = list_.find(name);
+        return !entry || offered(*entry).status != listing::Status::serving;
+    });
+    if (file_ && begun_ && ends) write(now);
     return result;
 }
 
@@ -499,7 +506,7 @@
     const bool written = file_->replace(records, last, now, left);
     if (!written) {
         rewrite_ = true;
-        writeAt_ = Steady::now() + 10 * options_.writeEvery;  // the disk may be full for long
+        writeAt_ = Steady::now() + options_.writeEvery;
         return;
     }
     if (left > 0)
