--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -204,7 +204,8 @@
     CHECK(rig.ends.size() == 2 && rig.ends[1].id == "hung" && rig.facade.held() == 0);
 }
 
-store::Taken left(const std::string& id, store::RecordMs within, std::uint32_t attempts, store::RecordMs ranAgo) {
+store::Taken left(const std::string& id, store::RecordMs within, std::uint32_t attempts,
+                  store::RecordMs ranAgo) {
     const auto now =
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     store::Taken m;
