Decide in one place whether an attempt may begin, from when anything was heard

Cause: Decisions::report(call) noted a told wait, and report(list) a drain, only once they had the facade's lock. The thread of the notices waited for the same lock to record what the platform had answered, while further ends fell due.

Change: src/rules. SendRules has endpoints, told waits and open attempts behind a lock of its own, held for a few instructions; waits and drains are noted there before anything waits for the facade, begin() asks it last before the record and once more after. What the platform has answered is queued, and put on record with the next turn. After refusals a fleet that can ask within 4.4 s at its rate does so.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -64,7 +64,8 @@
       store_(store),
       hooks_(std::move(hooks)),
       recordClock_(recordClock),
-      sender_(config.settings, config.seed) {}
+      sender_(config.settings, config.seed),
+      sendRules_({config.drainGrace, config.settings.maxAttempts}, violations_) {}
 
 // ---- pick ----
 
@@ -77,35 +78,47 @@
     return call;
 }
 
+rules::Attempt Decisions::attemptOf(const Call& call) const {
+    return {call.id, call.endpoint, call.address, call.destination, call.attempt + 1, call.until, call.goBy};
+}
+
+bool Decisions::holds(const Held& held, const Call& call) const {
+    return !held.over && held.out && held.attempts == call.attempt + 1 && !held.cancel.stop_requested();
+}
+
 // Between the decision and the first byte lies a connect of up to a second. Meanwhile the partner may have
 // told another call to wait, the endpoint may be draining or gone, or the message over. Danger: the receivers
 // may forget its key meanwhile, and a repeat would take effect twice.
-bool Decisions::holds(const Held& held, const Call& call, Moment now) const {
-    if (held.over || !held.out || held.attempts != call.attempt + 1 || now >= call.until || now >= call.goBy)
-        return false;
-    if (held.cancel.stop_requested()) return false;
-    const auto endpoint = endpoints_.find(call.endpoint);
-    if (endpoint == endpoints_.end() || !endpoint->second.serving) return false;
-    if (endpoint->second.address != call.address || endpoint->second.group != held.in.destination)
-        return false;
-    const auto wait = waits_.find(call.destination);
-    return wait == waits_.end() || now >= wait->second;
-}
-
 bool Decisions::begin(const Call& call) {
     const std::lock_guard lock(mutex_);
     if (stopped_ || !picking_) return false;
     const auto it = held_.find(call.id);
-    if (it == held_.end() || !holds(it->second, call, Steady::now())) return false;
-    if (it->second.begun) return true;
-    return it->second.begun = store_.attempt(call.id, recordClock_.now());
+    if (it == held_.end() || !holds(it->second, call)) return false;
+    Held& held = it->second;
+    const auto attempt = attemptOf(call);
+    if (held.begun) return sendRules_.check(attempt, Steady::now()) == rules::Refusal::none;
+    const auto refusal = sendRules_.begin(attempt, Steady::now());
+    if (refusal != rules::Refusal::none) {
+        log::debug() << "call " << call.id << " #" << call.attempt << " to " << call.endpoint
+                     << " does not begin: " << rules::name(refusal);
+        return false;
+    }
+    held.begun = store_.attempt(call.id, recordClock_.now());
+    // The record may have taken its time.
+    if (held.begun && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) return true;
+    sendRules_.end(call.id);
+    if (std::exchange(held.begun, false)) store_.unsent(call.id);
+    return false;
 }
 
+void Decisions::sent(const Call& call) { sendRules_.sent(attemptOf(call), Steady::now()); }
+
 void Decisions::neverLeft(const Call& call) {
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(call.id);
     if (it == held_.end() || !it->second.begun || it->second.attempts != call.attempt + 1) return;
     it->second.begun = false;
+    sendRules_.end(call.id);
     if (!it->second.over) store_.unsent(call.id);
 }
 
@@ -171,7 +184,14 @@
 }
 
 void Decisions::report(const Call& call, const Result& result) {
+    // Danger: where the processor is short the facade's lock may be long in coming, and others begin calls
+    // meanwhile. What a partner has told holds from now on, not from when there is time for it.
+    const auto heardAt = Steady::now();
+    if (result.ending == Ending::turnedAway && result.wait.count() > 0)
+        sendRules_.tellWait(call.destination,
+                            heardAt + std::chrono::duration_cast<Steady::duration>(result.wait), heardAt);
     const std::lock_guard lock(mutex_);
+    sendRules_.end(call.id);
     const auto it = held_.find(call.id);
     if (it == held_.end() || !it->second.out) return;
     Held& held = it->second;
@@ -192,10 +212,6 @@
     }
     const auto now = Steady::now();
     if (hooks_.answered) hooks_.answered(call, result, now - call.issued);
-    if (result.ending == Ending::turnedAway && result.wait.count() > 0) {
-        auto& until = waits_[call.destination];
-        until = std::max(until, now + std::chrono::duration_cast<Steady::duration>(result.wait));
-    }
     stoathub::Outcome outcome;
     outcome.id = call.id;
     outcome.endpoint = call.endpoint;
@@ -212,6 +228,10 @@
 }
 
 void Decisions::report(const listing::Listing& list, bool saved) {
+    // As for waits: what drains or goes gets nothing more, whoever holds the lock.
+    const auto heardAt = Steady::now();
+    for (const auto& e : list.endpoints)
+        if (e.status != listing::Status::serving) sendRules_.endEndpoint(e.name, heardAt);
     const std::lock_guard lock(mutex_);
     if (stopped_) return;
     stoathub::ListNews news;
@@ -234,7 +254,7 @@
         if (e.status == listing::Status::deleted) {  // a deletion need not tell more than the name
             const auto known = endpoints_.find(e.name);
             if (known == endpoints_.end()) continue;
-            entry.destination = known->second.group;
+            entry.destination = known->second.destination;
         }
         entry.kind = position(config_.kinds, e.type, -1);
         entry.zone = position(config_.zones, e.zone, 0);
@@ -243,7 +263,7 @@
                       : e.status == listing::Status::draining ? stoathub::EndpointState::draining
                                                               : stoathub::EndpointState::gone;
         news.entries.push_back(std::move(entry));
-        const Seen seen{e.address, e.group, e.status == listing::Status::serving};
+        const rules::Endpoint seen{e.address, e.group, e.status == listing::Status::serving};
         setEndpoint(e.name, e.status == listing::Status::deleted ? nullptr : &seen, now);
     }
     forget(now);
@@ -251,21 +271,24 @@
 }
 
 /// The one place where the tables of endpoints and destinations change; `seen` is null for one that is gone.
-void Decisions::setEndpoint(const std::string& name, const Seen* seen, Moment now) {
+void Decisions::setEndpoint(const std::string& name, const rules::Endpoint* seen, Moment now) {
     const auto it = endpoints_.find(name);
     const bool had = it != endpoints_.end();
+    if (!seen) sendRules_.removeEndpoint(name, now);
+    else if (!seen->serving) sendRules_.endEndpoint(name, now);
+    if (seen) sendRules_.setEndpoint(name, *seen);
     // Nothing more goes there: its connections are of no use.
     const bool same = had && seen && seen->serving && it->second.address == seen->address;
     if (had && !same && hooks_.closeIdle) hooks_.closeIdle(name);
     if (had) {
-        Group& group = destinations_[it->second.group];
+        Group& group = destinations_[it->second.destination];
         group.serving -= it->second.serving;
-        if (--group.listed == 0) unlisted_[it->second.group] = now;
+        if (--group.listed == 0) unlisted_[it->second.destination] = now;
     }
     if (seen) {
-        Group& group = destinations_[seen->group];
+        Group& group = destinations_[seen->destination];
         group.serving += seen->serving;
-        if (++group.listed == 1) unlisted_.erase(seen->group);
+        if (++group.listed == 1) unlisted_.erase(seen->destination);
         endpoints_[name] = *seen;
     } else if (had) {
         endpoints_.erase(it);
@@ -313,16 +336,32 @@
     Demand found;
     if (const auto it = destinations_.find(destination); it != destinations_.end())
         found.held = it->second.held;
-    if (const auto it = waits_.find(destination); it != waits_.end()) found.waitUntil = it->second;
+    found.waitUntil = sendRules_.waitUntil(destination);
     return found;
 }
 
+// Danger: whoever tells the platform of ends must not stand behind the facade's lock: the next end may have
+// little time left.
 void Decisions::report(const std::vector<std::string>& noticed) {
-    const std::lock_guard lock(mutex_);
-    for (const auto& id : noticed) store_.noticed(id);
+    {
+        const std::lock_guard lock(noticedMutex_);
+        noticed_.insert(noticed_.end(), noticed.begin(), noticed.end());
+    }
+    const std::unique_lock lock(mutex_, std::try_to_lock);
+    if (!lock) return;  // whoever holds it puts them on record before it lets go, or the next turn does
+    recordNoticed();
     if (store_.behind()) wake_.notify_one();
 }
 
+void Decisions::recordNoticed() {
+    std::vector<std::string> noticed;
+    {
+        const std::lock_guard lock(noticedMutex_);
+        noticed.swap(noticed_);
+    }
+    for (const auto& id : noticed) store_.noticed(id);
+}
+
 void Decisions::withdraw(const std::string& id) {
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(id);
@@ -429,7 +468,7 @@
         if (it != destinations_.end()) destinations_.erase(it);
         return true;
     });
-    std::erase_if(waits_, [&](const auto& entry) { return entry.second <= now; });
+    sendRules_.forget(now);
 }
 
 void Decisions::turn(const Events& events, Verdict* own, const std::string* ownId) {
@@ -477,6 +516,7 @@
         }
         // Follow has no place on sockets: the watch always runs.
     }
+    recordNoticed();
     if (store_.behind()) wake_.notify_one();
 }
 
@@ -522,12 +562,13 @@
 
 bool Decisions::flushRecords() {
     const std::lock_guard lock(mutex_);
+    recordNoticed();
     return store_.flush();
 }
 
 Decisions::Counts Decisions::counts() const {
     const std::lock_guard lock(mutex_);
-    return {held_.size(), endpoints_.size(), destinations_.size(), waits_.size()};
+    return {held_.size(), endpoints_.size(), destinations_.size(), sendRules_.waits()};
 }
 std::vector<Decisions::Balance> Decisions::balances() const {
     const std::lock_guard lock(mutex_);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -18,6 +18,7 @@
 #include "clock/record_clock.hpp"
 #include "config/config.hpp"
 #include "listing/listing.hpp"
+#include "rules/send_rules.hpp"
 #include "store/store.hpp"
 
 namespace laurelhaven::decisions {
@@ -105,6 +106,8 @@
     std::optional<Call> pick();
     /// Asked just before the call's first byte: does it still hold? If so the attempt is on record.
     bool begin(const Call& call);
+    /// Its last byte has been written: the attempt is held against the rules.
+    void sent(const Call& call);
 
     Verdict report(const HandIn& message);
     /// Put on record also once stopped: a later life must know what was heard.
@@ -113,7 +116,7 @@
     void neverLeft(const Call& call);
     void report(const listing::Listing& list, bool saved = false);
     void report(const std::vector<Standing>& standings);
-    /// The platform knows these ends.
+    /// The platform knows these ends. Never waits: they are put on record with the next turn.
     void report(const std::vector<std::string>& noticed);
     /// The client left before it heard that its message was taken.
     void withdraw(const std::string& id);
@@ -135,6 +138,9 @@
         std::size_t held = 0, endpoints = 0, destinations = 0, waits = 0;
     };
     Counts counts() const;
+    /// Rules that were seen broken, and attempts that were refused in their last moment.
+    const rules::Violations& violations() const { return violations_; }
+    const rules::SendRules& sendRules() const { return sendRules_; }
 
     /// A destination's retry bucket: see stoathub::Balance.
     struct Balance {
@@ -164,23 +170,20 @@
         bool over = false;
         std::stop_source cancel;
     };
-    struct Seen {  // an endpoint, as the list has it
-        std::string address;
-        std::uint64_t group = 0;
-        bool serving = false;
-    };
     struct Group {                    // a destination
         int listed = 0, serving = 0;  // endpoints
         std::size_t held = 0;         // messages
     };
 
     Verdict decide(const HandIn& message);
-    void setEndpoint(const std::string& name, const Seen* seen, Moment now);
+    void setEndpoint(const std::string& name, const rules::Endpoint* seen, Moment now);
     Held& hold(const HandIn& message);
     void release(const std::string& id);
     void turn(const struct Events& events, Verdict* own = nullptr, const std::string* ownId = nullptr);
     void conclude(const std::string& id, const store::Owed& notice);
-    bool holds(const Held& held, const Call& call, Moment now) const;
+    bool holds(const Held& held, const Call& call) const;
+    rules::Attempt attemptOf(const Call& call) const;
+    void recordNoticed();
     void forget(Moment now);
     void dropDue();
     void wakeAt(Moment at);
@@ -192,11 +195,14 @@
     mutable std::mutex mutex_;
     std::condition_variable due_, wake_;
     stoathub::Sender sender_;
+    rules::Violations violations_;
+    rules::SendRules sendRules_;
+    std::mutex noticedMutex_;
+    std::vector<std::string> noticed_;  // ends that the platform knows, not on record yet
     std::unordered_map<std::string, Held> held_;
-    std::map<std::string, Seen> endpoints_;
+    std::map<std::string, rules::Endpoint> endpoints_;
     std::unordered_map<std::uint64_t, Group> destinations_;
     std::map<std::uint64_t, Moment> unlisted_;  // destinations left without endpoints, since when
-    std::map<std::uint64_t, Moment> waits_;     // by destination: told to wait until then
     std::deque<Call> calls_;                    // due, and not yet picked
     std::optional<Moment> wakeAt_;              // as the module asked for last
     std::size_t out_ = 0;
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -150,6 +150,7 @@
     const auto bytes = http::request("POST", "/hook", call.address, fields, *call.body);
     if (net::sendAll(fd, bytes, call.until) != net::Io::done) return ended(Ending::noConnection);
     const auto sentAt = net::Steady::now();
+    decisions_.sent(call);
     auto result = answer(call, fd, keep);
     result.stale = warm && result.ending == Ending::reset && net::Steady::now() - sentAt < kCrossed;
     return result;
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -18,8 +18,12 @@
 constexpr milliseconds kSilence{3500};  // an empty line comes every 2 s; news counts as told 6 s late at most
 constexpr milliseconds kUntold{100};    // over which the first calls after a lost watch spread at most
 constexpr milliseconds kLeastSoon{20};  // however short a drain grace, a stream that ends at once is no spin
-constexpr milliseconds kLongest{40000};  // the longest span after refusals,
-constexpr int kMostRounds = 8;           // or so many of the whole fleet
+// The longest pause: what discovery tells counts 6 s after it could be reached, and the call itself takes up
+// to a second for its connect.
+constexpr milliseconds kLongest{4400};
+// After refusals, for a fleet that can't ask within that time at its rate,
+constexpr milliseconds kLongestOfMany{40000};
+constexpr int kMostRounds = 8;  // or so many rounds of the whole fleet.
 
 void logNews(const listing::Listing& list) {
     (log::info() << "registry: " << (list.whole ? "whole list" : "changes"))
@@ -34,8 +38,9 @@
     // Danger: a discovery with more calls than it can answer answers none in time, and calls that it refuses
     // keep it so. Many senders that each ask once a second shut each other out for good, and none hears of a
     // drain. Only fewer calls let it recover. It may hurt where it is back early, for a part of the span.
-    const auto most =
-        std::max(options.pauseMost, refused ? std::min(kMostRounds * round, kLongest) : milliseconds{});
+    const auto bound = round > kLongest ? kLongestOfMany : kLongest;
+    const auto most = std::max(std::min(options.pauseMost, kLongest),
+                               refused ? std::min(kMostRounds * round, bound) : milliseconds{});
     auto span = std::max(options.pauseLeast, refused ? round : std::min(round, kUntold));
     for (int i = 0; i < failures && span < most; ++i) span *= 2;
     span = std::min(span, most);
--- /dev/null
+++ b/src/rules/send_rules.cpp
@@ -0,0 +1,147 @@
+#include "rules/send_rules.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace laurelhaven::rules {
+namespace {
+
+// What a partner had in the pipe when it told a wait is let through.
+constexpr milliseconds kWaitLetThrough{100};
+// Between the check and the first byte a process may be held up by so much.
+constexpr milliseconds kHeldUp{150};
+constexpr std::chrono::seconds kRememberEnded{60};
+
+std::string late(Moment at, Moment since) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(at - since).count()) + " ms after";
+}
+
+}  // namespace
+
+std::string_view name(Refusal refusal) {
+    constexpr std::array<std::string_view, 8> kNames{"none",
+                                                     "deadline_passed",
+                                                     "window_passed",
+                                                     "endpoint_not_listed",
+                                                     "endpoint_not_serving",
+                                                     "address_changed",
+                                                     "told_to_wait",
+                                                     "already_open"};
+    return kNames[static_cast<std::size_t>(refusal)];
+}
+
+void SendRules::setEndpoint(const std::string& name, const Endpoint& endpoint) {
+    const std::lock_guard lock(mutex_);
+    endpoints_[name] = endpoint;
+    if (endpoint.serving) endedAt_.erase(name);
+}
+
+void SendRules::endEndpoint(const std::string& name, Moment now) {
+    const std::lock_guard lock(mutex_);
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end() || !it->second.serving) return;
+    it->second.serving = false;
+    endedAt_.try_emplace(name, now);
+}
+
+void SendRules::removeEndpoint(const std::string& name, Moment now) {
+    const std::lock_guard lock(mutex_);
+    if (endpoints_.erase(name) > 0) endedAt_.try_emplace(name, now);
+}
+
+std::optional<Endpoint> SendRules::endpoint(const std::string& name) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) return {};
+    return it->second;
+}
+
+void SendRules::tellWait(std::uint64_t destination, Moment until, Moment now) {
+    const std::lock_guard lock(mutex_);
+    const auto [it, fresh] = waits_.try_emplace(destination, Wait{now, until});
+    if (fresh || it->second.until <= now) it->second = {now, until};
+    else it->second.until = std::max(it->second.until, until);
+}
+
+Moment SendRules::waitUntil(std::uint64_t destination) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = waits_.find(destination);
+    return it == waits_.end() ? Moment{} : it->second.until;
+}
+
+void SendRules::forget(Moment now) {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(waits_, [&](const auto& entry) { return entry.second.until <= now; });
+    std::erase_if(endedAt_, [&](const auto& entry) {
+        return !endpoints_.count(entry.first) && now - entry.second > kRememberEnded;
+    });
+}
+
+Refusal SendRules::checkLocked(const Attempt& attempt, Moment now) const {
+    if (now >= attempt.giveUpAt) return Refusal::deadlinePassed;
+    if (now >= attempt.beginUntil) return Refusal::windowPassed;
+    const auto endpoint = endpoints_.find(attempt.endpoint);
+    if (endpoint == endpoints_.end() || endpoint->second.destination != attempt.destination)
+        return Refusal::endpointNotListed;
+    if (!endpoint->second.serving) return Refusal::endpointNotServing;
+    if (endpoint->second.address != attempt.address) return Refusal::addressChanged;
+    const auto wait = waits_.find(attempt.destination);
+    if (wait != waits_.end() && now < wait->second.until) return Refusal::toldToWait;
+    return Refusal::none;
+}
+
+Refusal SendRules::check(const Attempt& attempt, Moment now) const {
+    const std::lock_guard lock(mutex_);
+    return checkLocked(attempt, now);
+}
+
+Refusal SendRules::begin(const Attempt& attempt, Moment now) {
+    const std::lock_guard lock(mutex_);
+    auto refusal = checkLocked(attempt, now);
+    if (refusal == Refusal::none && open_.count(attempt.message)) refusal = Refusal::alreadyOpen;
+    if (refusal == Refusal::none) open_.emplace(attempt.message, now);
+    else ++refused_[static_cast<std::size_t>(refusal)];
+    return refusal;
+}
+
+void SendRules::sent(const Attempt& attempt, Moment at) {
+    const std::lock_guard lock(mutex_);
+    const auto subject = attempt.message + " to " + attempt.endpoint;
+    if (!open_.count(attempt.message)) violations_.count(Rule::overlap, subject, "sent without being open");
+    if (attempt.number > limits_.attempts)
+        violations_.count(Rule::attempts, subject, "attempt " + std::to_string(attempt.number));
+    if (at >= attempt.giveUpAt + kHeldUp)
+        violations_.count(Rule::deadline, subject, late(at, attempt.giveUpAt));
+    if (attempt.beginUntil != Moment::max() && at >= attempt.beginUntil + kHeldUp)
+        violations_.count(Rule::keyWindow, subject, late(at, attempt.beginUntil));
+    const auto ended = endedAt_.find(attempt.endpoint);
+    if (ended != endedAt_.end() && at >= ended->second + limits_.drainGrace)
+        violations_.count(Rule::drain, subject, late(at, ended->second));
+    const auto wait = waits_.find(attempt.destination);
+    if (wait != waits_.end() && at < wait->second.until && at >= wait->second.from + kWaitLetThrough)
+        violations_.count(Rule::wait, subject, late(at, wait->second.from));
+}
+
+void SendRules::end(const std::string& message) {
+    const std::lock_guard lock(mutex_);
+    open_.erase(message);
+}
+
+std::size_t SendRules::open() const {
+    const std::lock_guard lock(mutex_);
+    return open_.size();
+}
+std::size_t SendRules::waits() const {
+    const std::lock_guard lock(mutex_);
+    return waits_.size();
+}
+std::size_t SendRules::endpoints() const {
+    const std::lock_guard lock(mutex_);
+    return endpoints_.size();
+}
+std::uint64_t SendRules::refused(Refusal refusal) const {
+    const std::lock_guard lock(mutex_);
+    return refused_[static_cast<std::size_t>(refusal)];
+}
+
+}  // namespace laurelhaven::rules
--- /dev/null
+++ b/src/rules/send_rules.hpp
@@ -0,0 +1,108 @@
+// The one place that decides whether an attempt may begin now: it knows which endpoints serve, which
+// destinations told a wait and which attempts are open, from the moment at which that was heard.
+//
+// It has a lock of its own, held for a few instructions. What an answer or discovery tells is noted here
+// before anything waits for the facade, whose lock may be held for long where the processor is short; so no
+// attempt slips in between hearing and acting. Afterwards each attempt that was sent is held against the
+// rules, and what does not fit is counted.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "rules/violations.hpp"
+
+namespace laurelhaven::rules {
+
+using Steady = std::chrono::steady_clock;
+using Moment = Steady::time_point;
+using std::chrono::milliseconds;
+
+/// An endpoint as the list has it.
+struct Endpoint {
+    std::string address;
+    std::uint64_t destination = 0;
+    bool serving = false;
+};
+
+/// What an attempt is about to do.
+struct Attempt {
+    std::string message, endpoint, address;
+    std::uint64_t destination = 0;
+    int number = 0;     ///< from 1 on
+    Moment giveUpAt;    ///< its answer is not waited for any longer
+    Moment beginUntil;  ///< the end of its key's window, where it is a repeat by key
+};
+
+/// Why an attempt may not begin.
+enum class Refusal {
+    none,
+    deadlinePassed,
+    windowPassed,
+    endpointNotListed,
+    endpointNotServing,
+    addressChanged,
+    toldToWait,
+    alreadyOpen
+};
+std::string_view name(Refusal refusal);
+
+struct Limits {
+    milliseconds drainGrace{250};  ///< after which nothing new may go to an endpoint that was told to end
+    int attempts = 8;              ///< for one message
+};
+
+class SendRules {
+  public:
+    SendRules(const Limits& limits, Violations& violations) : limits_(limits), violations_(violations) {}
+
+    // -- what has been told --
+    void setEndpoint(const std::string& name, const Endpoint& endpoint);
+    /// It drains, or has gone: nothing new may begin there from now on.
+    void endEndpoint(const std::string& name, Moment now);
+    void removeEndpoint(const std::string& name, Moment now);
+    std::optional<Endpoint> endpoint(const std::string& name) const;
+    /// Nothing may go to the destination until then. The later of two waits holds.
+    void tellWait(std::uint64_t destination, Moment until, Moment now);
+    /// The end of the wait that the destination told last; in the past where there is none.
+    Moment waitUntil(std::uint64_t destination) const;
+    /// Drops waits that are over and endpoints that ended long ago.
+    void forget(Moment now);
+
+    // -- deciding --
+    Refusal check(const Attempt& attempt, Moment now) const;
+    /// Checks, and opens the attempt where nothing speaks against it.
+    Refusal begin(const Attempt& attempt, Moment now);
+    /// Its bytes have left, by then at the latest: what was told in between is held against the rules.
+    void sent(const Attempt& attempt, Moment at);
+    /// The attempt has its outcome, or never left.
+    void end(const std::string& message);
+
+    std::size_t open() const;
+    std::size_t waits() const;
+    std::size_t endpoints() const;
+    /// Attempts that were refused, by reason.
+    std::uint64_t refused(Refusal refusal) const;
+
+  private:
+    struct Wait {
+        Moment from, until;
+    };
+    Refusal checkLocked(const Attempt& attempt, Moment now) const;
+
+    Limits limits_;
+    Violations& violations_;
+    mutable std::mutex mutex_;
+    std::unordered_map<std::string, Endpoint> endpoints_;
+    std::unordered_map<std::string, Moment> endedAt_;  ///< endpoints that drain or have gone, since when
+    std::map<std::uint64_t, Wait> waits_;              ///< by destination
+    std::unordered_map<std::string, Moment> open_;     ///< attempts by message, since when
+    std::array<std::uint64_t, 8> refused_{};
+};
+
+}  // namespace laurelhaven::rules
--- /dev/null
+++ b/src/rules/violations.cpp
@@ -0,0 +1,26 @@
+#include "rules/violations.hpp"
+
+#include <numeric>
+
+#include "log/log.hpp"
+
+namespace laurelhaven::rules {
+
+std::string_view name(Rule rule) {
+    constexpr std::array<std::string_view, kRules> kNames{
+        "drain",    "wait",       "overlap",      "attempts", "record",
+        "deadline", "key_window", "final_answer", "late_end", "unanswered"};
+    return kNames[static_cast<std::size_t>(rule)];
+}
+
+void Violations::count(Rule rule, std::string_view subject, std::string_view detail) {
+    ++counts_[static_cast<std::size_t>(rule)];
+    (log::error() << "rule violated").kv("rule", name(rule)).kv("subject", subject).kv("detail", detail);
+}
+
+std::uint64_t Violations::all() const {
+    return std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const auto& one) { return sum + one.load(); });
+}
+
+}  // namespace laurelhaven::rules
