--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "plan/words.hpp"
 #include "rig/matrix.hpp"
 #include "rig/sender.hpp"
+#include "soak/words.hpp"
 #include "trace/file.hpp"
 #include "trace/shape.hpp"
 #include "view/view.hpp"
@@ -283,6 +284,7 @@
     trial->add_flag("--json", json, "as JSON");
     LoadWords loading(app);
     plan::Words planning(app);
+    lab::soak::Words soaking(app, std::filesystem::path(argv[0]).parent_path());
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
@@ -300,6 +302,7 @@
             ladders.lab = options;
             return drawnFleets(seed > 0 ? seed : 1, drawn, fleets, ladders, json);
         }
+        if (const auto soaked = soaking.run(std::cout, std::cerr)) return *soaked;
         if (const auto planned = planning.run(std::cout, std::cerr)) return *planned;
         if (table->parsed()) {
             lab::MatrixOptions matrix{options, against, side, seed > 0 ? seed : 1};
--- a/lab/rig/sender.cpp
+++ b/lab/rig/sender.cpp
@@ -24,6 +24,10 @@
 
 namespace {
 
+constexpr const char* kOneClass =
+    R"([{"name":"notice","effect":"token","give-up-ns":28000000000,"slo-ns":4000000000,"key-scope":"all",)"
+    R"("key-ttl-ns":15000000000,"credit":1.0,"late-share":0.5}])";
+
 std::string configuration(const SenderPlan& p) {
     const auto number = [](auto value) { return std::to_string(value); };
     std::string accounts;
@@ -33,12 +37,8 @@
     return R"({"name":")" + p.name + R"(","listen":")" + p.listen + R"(","discovery":")" + p.discovery +
            R"(","seed":")" + number(p.seed) + R"(","limits":{"cores":1.0,"memory_mb":)" + number(p.memoryMb) +
            R"(,"disk_mb":)" + number(p.diskMb) + R"(,"sockets":)" + number(p.sockets) + "}," +
-           (p.known.empty() ? "" : R"("known":)" + p.known + ",") +
-           R"("settings":{"grades":[{"name":"notice","effect":"token","give-up-ns":28000000000,)"
-           R"("slo-ns":4000000000,"key-scope":"all","key-ttl-ns":15000000000,"credit":1.0,)"
-           R"("late-share":0.5}],)"
-           R"("accounts":[)" +
-           accounts +
+           (p.known.empty() ? "" : R"("known":)" + p.known + ",") + R"("settings":{"grades":)" +
+           (p.grades.empty() ? kOneClass : p.grades) + R"(,"accounts":[)" + accounts +
            R"(],"kinds":["partner"],"zones":["z"],)"
            R"("balancers":)" +
            number(p.senders) + R"(,"ordinal":)" + number(p.self) +
@@ -80,6 +80,7 @@
     words.push_back("serve");
     std::vector<std::string> variables{"BALANCER_NAME=" + plan_.name, "BALANCER_STATE=" + state(),
                                        "BALANCER_CONFIG=" + config(), "BALANCER_LISTEN=" + plan_.listen};
+    variables.insert(variables.end(), plan_.environment.begin(), plan_.environment.end());
     std::vector<char*> argv, envp;
     for (auto& w : words) argv.push_back(w.data());
     for (auto& v : variables) envp.push_back(v.data());
@@ -118,6 +119,17 @@
     if (pid_ > 0) ::kill(pid_, SIGHUP);
 }
 
+void SenderProcess::signal(int number) {
+    if (pid_ > 0) ::kill(pid_, number);
+}
+
+bool SenderProcess::died() {
+    int status = 0;
+    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return false;
+    pid_ = -1;
+    return true;
+}
+
 void SenderProcess::kill() {
     if (pid_ <= 0) return;
     ::kill(pid_, SIGKILL);
--- a/lab/rig/sender.hpp
+++ b/lab/rig/sender.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace laurelhaven::lab {
 
@@ -20,6 +21,8 @@
     int diskMb = 3;
     int slots = 24, held = 400, sockets = 1024, memoryMb = 192, tenants = 1;
     std::uint64_t seed = 1;
+    std::string grades;                    ///< JSON of the classes, or empty for one keyed class
+    std::vector<std::string> environment;  ///< further variables, as NAME=value
 };
 
 /// The name of a tenant, by its number in a load.
@@ -39,6 +42,12 @@
     int stop();
     /// Writes the configuration anew, with discovery elsewhere, and sends SIGHUP.
     void moveDiscovery(const std::string& address);
+    /// Sends a signal to the running process.
+    void signal(int number);
+    /// The configuration file's path, for whoever spoils it.
+    std::string configPath() const { return config(); }
+    /// True when the process has ended by itself.
+    bool died();
     bool running() const { return pid_ > 0; }
     std::chrono::milliseconds readyAfter() const { return readyAfter_; }
     /// Bytes of resident memory, of the running process.
--- /dev/null
+++ b/lab/soak/troubles.hpp
@@ -0,0 +1,64 @@
+// The troubles of one soak, drawn from its seed: what befalls whom, when and for how long. Several overlap at
+// any time. Pure: the same seed draws the same troubles.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace laurelhaven::lab::soak {
+
+using std::chrono::milliseconds;
+
+enum class Kind {
+    // a sender's process
+    stop,         ///< SIGTERM, and a start behind it
+    kill,         ///< SIGKILL, and a start behind it
+    reload,       ///< SIGHUP: discovery is elsewhere; the file may be half written at first
+    holdUp,       ///< SIGSTOP for a moment
+    wallStep,     ///< its wall clock is stepped
+    disk,         ///< its folder's writes fail
+    accept,       ///< its accepts fail
+    localSocket,  ///< its sockets and connects fail for causes of the machine
+    interrupts,   ///< its calls are interrupted, and transfer little
+    broken,       ///< its connections break: ETIMEDOUT, EHOSTUNREACH
+    // its clients
+    rudeClients,  ///< many that send half, garble, end their sending, or leave
+    // discovery
+    discoverySilent,
+    discoveryCut,
+    discoverySlow,
+    // partners
+    refuses,    ///< connections are refused
+    hangs,      ///< calls get no answer
+    garbles,    ///< answers are spoilt
+    resets,     ///< connections are reset under calls
+    turnsAway,  ///< 429 with a wait
+    errors,     ///< 500
+    drains      ///< one endpoint drains and is replaced
+};
+constexpr int kKinds = static_cast<int>(Kind::drains) + 1;
+const char* name(Kind kind);
+
+struct Trouble {
+    milliseconds at{}, span{};
+    Kind kind = Kind::stop;
+    std::size_t target = 0;      ///< a sender or a partner
+    std::int64_t parameter = 0;  ///< an error number, a step in milliseconds, or a share of a thousand
+};
+
+struct Draw {
+    std::uint64_t seed = 1;
+    milliseconds span{20000};
+    std::size_t senders = 10, partners = 4;
+    std::vector<Kind> only;  ///< or all kinds
+};
+
+/// In order of time.
+std::vector<Trouble> draw(const Draw& draw);
+/// "2.300 s, 1.2 s: kill sender 3".
+std::string text(const Trouble& trouble);
+bool ofPartner(Kind kind);
+
+}  // namespace laurelhaven::lab::soak
--- a/lab/standin/discovery.cpp
+++ b/lab/standin/discovery.cpp
@@ -240,6 +240,7 @@
             good = false;
             continue;
         }
+        if (onNotice) onNotice((*value)["id"].asString(), (*value)["state"].asString());
         const std::lock_guard lock(mutex_);
         auto& notice = notices_[(*value)["id"].asString()];
         const auto state = (*value)["state"].asString();
--- a/lab/standin/discovery.hpp
+++ b/lab/standin/discovery.hpp
@@ -47,6 +47,8 @@
     std::vector<listing::Endpoint> endpoints() const;
     /// Called when a change is written to a watch: the sender has been told.
     std::function<void(const listing::Endpoint&)> onTold;
+    /// Called for each end that a sender tells.
+    std::function<void(const std::string& id, const std::string& state)> onNotice;
 
     /// Ends by notice: id to state, with how often it came.
     struct Notice {
