Start without a socket, record ends before they are told, repeat a failed list's write

Cause, each found by the soak: Front's constructor threw when socket() failed once (ENFILE, ENOBUFS), and the process ended; Decisions::conclude() told the platform of an end whose record could not be written, and after a kill the next life decided it anew (returned, then failed); Roster::write() repeated a failed write after write-every (1 s), and a kill in between forgot a drain.

Change: listenOn() may be given patience, and the front's start has 8 s. Ends wait until the store has written them, 150 ms at most: their time is up. The store is flushed every 20 ms while it is behind. A failed write of the kept list is repeated every 100 ms.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -19,7 +19,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLate{50};
-constexpr milliseconds kFlush{100};                // between tries to write what the store could not
+constexpr milliseconds kFlush{20};            // between tries to write what the store could not
+constexpr milliseconds kTellUnrecorded{150};  // an end that the store can't write is told so long after it
 constexpr std::chrono::seconds kDestinations{60};  // so long a destination without endpoints stays one
 
 stoathub::Time moduleTime(Moment at) {
@@ -435,6 +436,7 @@
     while (!stopped_) {
         const auto now = Steady::now();
         const bool behind = !store_.flush();
+        tellEnds(false);
         const auto next = std::min(wakeAt_.value_or(Moment::max()), behind ? now + kFlush : Moment::max());
         if (next == Moment::max()) {
             wake_.wait(lock);
@@ -530,7 +532,20 @@
     store_.ended(notice);
     if (it->second.out) it->second.over = true;
     else release(id);
-    if (hooks_.ended) hooks_.ended(notice);
+    untold_.push_back({notice, Steady::now() + kTellUnrecorded});
+    tellEnds(false);
+}
+
+// Danger: an end that is told and not on record would be decided once more by the next life, and perhaps
+// otherwise. So it is on record first; but where the store can't write, it does not wait for long.
+void Decisions::tellEnds(bool all) {
+    const bool recorded = !store_.behind();
+    const auto now = Steady::now();
+    while (!untold_.empty() && (all || recorded || now >= untold_.front().tellBy)) {
+        const auto notice = std::move(untold_.front().notice);
+        untold_.pop_front();
+        if (hooks_.ended) hooks_.ended(notice);
+    }
 }
 
 void Decisions::stopPicking() {
@@ -555,6 +570,8 @@
 void Decisions::stop() {
     const std::lock_guard lock(mutex_);
     dropDue();
+    store_.flush();
+    tellEnds(true);
     stopped_ = true;
     for (auto& [id, held] : held_)
         if (held.out) held.cancel.request_stop();
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -185,6 +185,7 @@
     bool holds(const Held& held, const Call& call) const;
     rules::Attempt attemptOf(const Call& call) const;
     void recordNoticed();
+    void tellEnds(bool all);
     void forget(Moment now);
     void dropDue();
     void wakeAt(Moment at);
@@ -198,6 +199,12 @@
     stoathub::Sender sender_;
     rules::Violations violations_;
     rules::SendRules sendRules_;
+    /// Ends that are not on record yet, as the store is behind, and when they are told all the same.
+    struct Untold {
+        store::Owed notice;
+        Moment tellBy;
+    };
+    std::deque<Untold> untold_;
     std::mutex noticedMutex_;
     std::vector<std::string> noticed_;  // ends that the platform knows, not on record yet
     std::unordered_map<std::string, Held> held_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,7 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr int kBacklog = 512;
-constexpr std::size_t kLeaving = 16;  // connections beyond the most, while those told to go are going
+constexpr milliseconds kListen{8000};  // for a socket, where the machine has none at the start
+constexpr std::size_t kLeaving = 16;   // connections beyond the most, while those told to go are going
 // A client waits 400 ms: what is not whole by then never will be. Whoever sends less, or byte by byte, is
 // answered or shut this long after connecting, or after its next request's first byte.
 constexpr milliseconds kRead{2000};
@@ -57,7 +58,7 @@
 Front::Front(const config::Config& config, decisions::Decisions& decisions)
     : config_(config),
       decisions_(decisions),
-      listener_(net::listenOn(config.listen, kBacklog)),
+      listener_(net::listenOn(config.listen, kBacklog, kListen)),
       most_(config::shares(config).clients) {}
 
 void Front::start() {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -62,8 +62,8 @@
 inline bool connectBy(int fd, const Address& to, Deadline until) {
     return beginConnect(fd, to) == ConnectStart::begun && connected(fd, until);
 }
-/// Throws std::system_error.
-Fd listenOn(const Address& at, int backlog);
+/// Asks for a socket for so long where the machine has none. Throws std::system_error.
+Fd listenOn(const Address& at, int backlog, std::chrono::milliseconds patience = {});
 /// The port that a listening socket got.
 int portOf(int fd);
 
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kNotice{1000};      // word of deliveries is taken in at most so often
 constexpr milliseconds kLeastJudge{1000};  // time alone is looked at at most so often
 constexpr milliseconds kColdDrift{500};    // a warm-up's start is known about so well
+constexpr milliseconds kWriteAgain{100};   // after a write that failed
 constexpr double kTrafficFade = 0.5;       // of the past traffic, at each start
 constexpr std::size_t kMostProbeAnswer = 16 * 1024;
 
@@ -469,7 +470,7 @@
     writeAt_ = {};
     writtenAt_ = Steady::now();
     if (!recordClock_.persist()) {  // its times would mean nothing to a later life
-        writeAt_ = Steady::now() + options_.writeEvery;
+        writeAt_ = Steady::now() + kWriteAgain;
         return;
     }
     std::string records;
@@ -506,7 +507,7 @@
     const bool written = file_->replace(records, last, now, left);
     if (!written) {
         rewrite_ = true;
-        writeAt_ = Steady::now() + options_.writeEvery;
+        writeAt_ = Steady::now() + kWriteAgain;  // what has drained meanwhile must not be forgotten
         return;
     }
     if (left > 0)
--- a/tests/roster/drain_memory_test.cpp
+++ b/tests/roster/drain_memory_test.cpp
@@ -3,9 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <thread>
 
 #include "check.hpp"
 #include "config/config.hpp"
+#include "faults/file_faults.hpp"
 #include "log/log.hpp"
 #include "no_store.hpp"
 #include "roster/roster.hpp"
@@ -72,6 +74,29 @@
     facade.stop();
 }
 
+// A write that fails is repeated at once, not when the next one is due.
+TEST(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonAfterWritesSucceed) {
+    log::setLevel(log::Level::off);
+    const check::Folder folder;
+    check::NoStore store;
+    const auto config = configFor(folder.path);
+    decisions::Decisions facade(config, store, {});
+    roster::Options options;
+    options.writeEvery = std::chrono::seconds(20);
+    roster::Roster roster(config, options, facade);
+    roster.begin();
+    roster.start();
+    faults::writeFailure.arm(ENOSPC);
+    roster.heard({10, true, {endpoint("b", 8, listing::Status::serving)}});
+    EXPECT_FALSE(std::filesystem::exists(folder.path + "/endpoints.list"));
+    faults::writeFailure.disarm();
+    const auto until = decisions::Steady::now() + std::chrono::seconds(10);
+    while (!std::filesystem::exists(folder.path + "/endpoints.list") && decisions::Steady::now() < until)
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    EXPECT_TRUE(std::filesystem::exists(folder.path + "/endpoints.list"));
+    facade.stop();
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, DrainMemory,
                          testing::Values(listing::Status::draining, listing::Status::deleted),
                          [](const auto& status) {
