Read a configuration again that could not be read at its signal

Cause: main.cpp's reload() gave a file that can't be parsed one try. A signal may come while the file is being written.

The wait for signals is part of the same loop, at a stop too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,6 @@
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
-#include <functional>
 #include <iostream>
 #include <string>
 #include <thread>
@@ -29,6 +28,7 @@
 #include "notices/notices.hpp"
 #include "registry/registry.hpp"
 #include "roster/roster.hpp"
+#include "serve/reloader.hpp"
 #include "settings/settings.hpp"
 #include "store/journal.hpp"
 #include "threads/thread.hpp"
@@ -57,31 +57,20 @@
     return set;
 }
 
-/// Reads the configuration anew. One that is bad changes nothing.
-void reload(const config::Config& running, discovery::Discovery& discovery) {
-    try {
-        const auto fresh = config::fromEnvironment();
-        const bool moved = discovery.moveTo(fresh.discovery);
-        log::info() << "configuration read anew, discovery " << (moved ? "now" : "still") << " at "
-                    << fresh.discovery.text;
-        for (const auto& part : config::needRestart(running, fresh))
-            log::warning() << "configuration: the new " << part << " holds from the next start on";
-    } catch (const std::exception& e) {
-        log::error() << "the new configuration is not taken over: " << e.what();
-    }
-}
-
 /// True when a signal to stop comes within that time; one to reload is carried out meanwhile.
-bool stopWithin(milliseconds span, const std::function<void()>& reloadNow) {
+bool stopWithin(milliseconds span, serve::Reloader& reloader) {
+    using std::chrono::steady_clock;
     const auto set = ourSignals();
-    const auto until = std::chrono::steady_clock::now() + span;
-    for (auto left = span; left.count() >= 0;
-         left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now())) {
+    const auto until = steady_clock::now() + span;
+    for (auto now = steady_clock::now(); now <= until; now = steady_clock::now()) {
+        const auto next = std::min(until, reloader.againAt().value_or(until));
+        const auto left = std::max(std::chrono::ceil<milliseconds>(next - now), milliseconds(0));
         const timespec time{left.count() / 1000, (left.count() % 1000) * 1000000};
         const int signal = sigtimedwait(&set, nullptr, &time);
-        if (signal == SIGHUP) reloadNow();
+        if (signal == SIGHUP) reloader.asked();
         else if (signal > 0) return true;
-        else if (errno == EAGAIN) return false;
+        else if (reloader.againAt() && steady_clock::now() >= *reloader.againAt()) reloader.read();
+        else if (errno == EAGAIN && next == until) return false;
     }
     return false;
 }
@@ -94,7 +83,7 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
-int serve(settings::Settings own) {
+int serveUntilStopped(settings::Settings own) {
     signal(SIGPIPE, SIG_IGN);
     signal(SIGXFSZ, SIG_IGN);  // a file at its limit is a full disk, not an end
     // Danger: with an arena for each of many threads, memory that one has freed is of no use to the next, and
@@ -164,9 +153,8 @@
                 << recovered.messages.size() << " messages (" << late << " past their deadline) and "
                 << recovered.notices.size() << " notices from before";
 
-    const auto stopIn = [&](milliseconds span) {
-        return stopWithin(span, [&] { reload(config, discovery); });
-    };
+    serve::Reloader reloader(config, discovery);
+    const auto stopIn = [&](milliseconds span) { return stopWithin(span, reloader); };
     while (!stopIn(std::chrono::hours(1))) {
     }
     log::info() << "stopping, " << decisions.held() << " messages held";
@@ -356,7 +344,7 @@
     if (format == "text") own.format = log::Format::text;
     log::setLevel(own.level);
     log::setFormat(own.format);
-    if (serveWord->parsed()) return serve(std::move(own));
+    if (serveWord->parsed()) return serveUntilStopped(std::move(own));
     if (checkWord->parsed()) {
         const auto config = config::fromEnvironment();
         settings::fit(own, config);
--- /dev/null
+++ b/src/serve/reloader.hpp
@@ -0,0 +1,33 @@
+// Reads the configuration anew while the sender runs. A file that can't be read is read again for a while:
+// the signal may come while it is being written.
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+#include "config/config.hpp"
+#include "discovery/discovery.hpp"
+
+namespace laurelhaven::serve {
+
+using Steady = std::chrono::steady_clock;
+
+class Reloader {
+  public:
+    Reloader(const config::Config& running, discovery::Discovery& discovery)
+        : running_(running), discovery_(discovery) {}
+    /// A signal asks for it.
+    void asked();
+    /// When the file is to be read once more; nothing where it need not be.
+    std::optional<Steady::time_point> againAt() const { return againAt_; }
+    /// Reads it. One that is bad changes nothing.
+    void read();
+
+  private:
+    const config::Config& running_;
+    discovery::Discovery& discovery_;
+    Steady::time_point giveUpAt_{};
+    std::optional<Steady::time_point> againAt_;
+};
+
+}  // namespace laurelhaven::serve
