--- a/tests/delivery/local_failures_test.cpp
+++ b/tests/delivery/local_failures_test.cpp
@@ -10,6 +10,7 @@
 #include "delivery/delivery.hpp"
 #include "log/log.hpp"
 #include "no_store.hpp"
+#include "notices/notices.hpp"
 #include "program.hpp"
 #include "threads/thread.hpp"
 
@@ -87,6 +88,23 @@
     delivery.stop();
 }
 
+// An end has little time left: a machine that lacks a port for a moment does not make it late.
+TEST(LocalFailuresOfNotices, DoNotMakeAnEndLate) {
+    log::setLevel(log::Level::off);
+    Platform platform;
+    const discovery::Discovery place(*net::address(platform.stub.at()));
+    std::atomic<bool> heard{false};
+    notices::Notices notices(place, [&](const std::vector<std::string>&) { heard = true; });
+    failWith = EADDRNOTAVAIL;
+    connectsToFail = 12;
+    const auto begun = net::Steady::now();
+    notices.start();
+    notices.add({"m", store::End::failed, 0});
+    await([&] { return heard.load(); });
+    EXPECT_LT(net::Steady::now() - begun, std::chrono::milliseconds(1500));
+    notices.stop();
+}
+
 INSTANTIATE_TEST_SUITE_P(Calls, LocalFailures,
                          testing::Values(Failure{"NoPort", &connectsToFail, EADDRNOTAVAIL, true},
                                          Failure{"NoRoute", &connectsToFail, ENETUNREACH, true},
