Tell an end again at once after a local failure, within 100 ms after others

Cause: Notices::run() doubled its pause after any failure, a connect that this machine could not begin among them, to 0.5 s.

Change: a local failure keeps the first pause of 20 ms; after others the pause grows to 100 ms, so that three tries fit into the time in which an end is not late.

--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds kAnswer{
     250};  // the answer comes at once; a dead connection must not make notices late
 constexpr milliseconds kFirstPause{20};
-constexpr milliseconds kLongestPause{500};
+constexpr milliseconds kLongestPause{100};  // an end is late 350 ms after its time
 
 }  // namespace
 
@@ -70,7 +70,7 @@
             continue;
         }
         if (answer == Answer::unreadable) log::error() << "notices: the platform can't read " << body;
-        if (answer != Answer::none) {
+        if (answer == Answer::heard || answer == Answer::unreadable) {
             pause = kFirstPause;
             heard_(ids);
             const std::lock_guard lock(mutex_);
@@ -85,7 +85,8 @@
         });
         std::unique_lock lock(mutex_);
         const bool moved = wake_.wait_for(lock, stopped, pause, [&] { return place.left.stop_requested(); });
-        pause = moved ? kFirstPause : std::min(2 * pause, kLongestPause);
+        // What this machine lacks for a moment is no reason to spare the platform.
+        pause = moved || answer == Answer::local ? kFirstPause : std::min(2 * pause, kLongestPause);
     }
 }
 
@@ -96,7 +97,7 @@
     if (!warm) fd_ = net::tcpSocket();
     at_ = place.address.text;
     bool keep = false;
-    const Answer answer = fd_ ? exchange(place, body, warm, keep) : Answer::none;
+    const Answer answer = fd_ ? exchange(place, body, warm, keep) : Answer::local;
     if (!keep) fd_.reset();  // only now, when a move can't shut it any more
     return answer;
 }
@@ -105,7 +106,9 @@
                                   bool& keep) {
     const int fd = fd_.get();
     const auto until = net::Steady::now() + kAnswer;
-    if (!warm && net::beginConnect(fd, place.address) != net::ConnectStart::begun) return Answer::none;
+    const auto start = warm ? net::ConnectStart::begun : net::beginConnect(fd, place.address);
+    if (start == net::ConnectStart::local) return Answer::local;
+    if (start != net::ConnectStart::begun) return Answer::none;
     const std::stop_callback shutIt(place.left, [fd] { net::shut(fd); });
     if (!warm && !net::connected(fd, until)) return Answer::none;
     if (net::sendAll(fd, http::request("POST", "/v1/notices", at_, {}, body), until) != net::Io::done)
--- a/src/notices/notices.hpp
+++ b/src/notices/notices.hpp
@@ -31,7 +31,12 @@
     std::size_t owed() const;
 
   private:
-    enum class Answer { heard, unreadable, none };
+    enum class Answer {
+        heard,
+        unreadable,
+        none,  ///< nobody answered
+        local  ///< this machine could not even ask
+    };
     void run();
     Answer post(const discovery::Place& place, const std::string& body);
     Answer exchange(const discovery::Place& place, const std::string& body, bool warm, bool& keep);
