Move rules of closing and repeating into src/rules, count breaks, answer GET /metrics

Change: rules/connection_rules has what Front::makeRoom() and front::whole() decided, rules/repeat_rules what restore() decided of a found message's effect; both pure. SendRules counts an attempt sent without its record, a second open one; the facade a second end and one over 300 ms late of a message that it took on itself. src/metrics holds counters and gauges in the Prometheus text format; the clients' address answers GET /metrics with them. Front logs why it refuses, at debug.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -1,11 +1,14 @@
 #include "decisions/decisions.hpp"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <string_view>
 
 #include "decisions/limits.hpp"
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
+#include "rules/repeat_rules.hpp"
 #include "stoathub/stoathub.hpp"
 
 namespace laurelhaven::decisions {
@@ -19,6 +22,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLate{50};
+constexpr milliseconds kLateEnd{300};         // an end is late so long after its message's time
 constexpr milliseconds kFlush{20};            // between tries to write what the store could not
 constexpr milliseconds kTellUnrecorded{150};  // an end that the store can't write is told so long after it
 constexpr std::chrono::seconds kDestinations{60};  // so long a destination without endpoints stays one
@@ -60,6 +64,13 @@
 
 }  // namespace
 
+std::string_view name(Ending ending) {
+    static constexpr std::array<std::string_view, 9> kNames{"delivered", "error",         "turned_away",
+                                                            "timed_out", "no_connection", "reset",
+                                                            "cancelled", "not_sent",      "unsent"};
+    return kNames[static_cast<std::size_t>(ending)];
+}
+
 Decisions::Decisions(const config::Config& config, store::Store& store, Hooks hooks,
                      clock::RecordClock& recordClock)
     : config_(config),
@@ -131,6 +142,8 @@
     const auto verdict = decide(message);
     log::debug() << "handed " << message.id << " for " << message.destination << " verdict "
                  << static_cast<int>(verdict.kind) << " after " << verdict.after.count();
+    static constexpr std::array<std::string_view, 4> kKinds{"taken", "refused", "failed", "conflict"};
+    metrics::counter("messages_total", "verdict", kKinds[static_cast<std::size_t>(verdict.kind)]).add();
     if (hooks_.arrived) hooks_.arrived(message, verdict);
     return verdict;
 }
@@ -214,6 +227,7 @@
         return;
     }
     const auto now = Steady::now();
+    metrics::counter("calls_total", "ending", name(result.ending)).add();
     if (hooks_.answered) hooks_.answered(call, result, now - call.issued);
     stoathub::Outcome outcome;
     outcome.id = call.id;
@@ -392,6 +406,7 @@
         const int tenant = position(config_.tenants, m.tenant, 0);
         Held& held = hold({m.id, m.key, m.destination, static_cast<std::uint32_t>(grade),
                            static_cast<std::uint32_t>(tenant), now + left, m.body});
+        held.found = true;
         // Danger: a configuration with fewer classes; the module takes no message of one that it does not
         // know, and nobody would ever end it.
         if (grade < 0) {
@@ -406,13 +421,9 @@
         handed.id = m.id;
         handed.destination = m.destination;
         handed.grade = grade;
-        // Danger: its class may have another effect now. It is repeated only if both allow it, and by a key
-        // only if it has one and the configuration still tells for how long, and where, that is known.
         const auto effect = config_.settings.grades[static_cast<std::size_t>(grade)].effect;
-        handed.least = static_cast<stoathub::Effect>(std::clamp(m.effect, 0, 2));
-        if (std::max(handed.least, effect) == stoathub::Effect::keyed &&
-            (m.key.empty() || effect != stoathub::Effect::keyed))
-            handed.least = stoathub::Effect::unsafe;
+        handed.least = rules::effectOfFound(static_cast<stoathub::Effect>(std::clamp(m.effect, 0, 2)), effect,
+                                            !m.key.empty());
         handed.grace = left;
         stoathub::Past past;
         past.attempts = held.attempts;
@@ -526,7 +537,12 @@
 
 void Decisions::conclude(const std::string& id, const store::Owed& notice) {
     const auto it = held_.find(id);
-    if (it == held_.end() || it->second.over) return;
+    if (it == held_.end()) return;
+    if (it->second.over) return violations_.count(rules::Rule::finalAnswer, id, "a second end");
+    const auto late = Steady::now() - it->second.in.deadline;
+    if (late > kLateEnd && !it->second.found)
+        violations_.count(rules::Rule::lateEnd, id, std::to_string(late / milliseconds(1)) + " ms late");
+    metrics::counter("ends_total", "state", notice.end == store::End::failed ? "failed" : "returned").add();
     log::debug() << "returned " << id << " state " << static_cast<int>(notice.end) << " after "
                  << notice.afterMs;
     store_.ended(notice);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <stop_token>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -66,6 +67,7 @@
     notSent,  ///< the endpoint's machine says that it did not pass it on
     unsent    ///< no byte of it was written: no attempt was made
 };
+std::string_view name(Ending ending);
 struct Result {
     Ending ending = Ending::unsent;
     bool over = false;  ///< nothing more is owed for the message
@@ -169,6 +171,7 @@
         bool out = false;    // an attempt is with a worker
         bool begun = false;  // and may have gone out: it is on record
         bool over = false;
+        bool found = false;  // on record at the start: its time may have passed while nothing ran
         std::stop_source cancel;
     };
     struct Group {                    // a destination
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -11,6 +11,7 @@
 
 #include "front/intake.hpp"
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::front {
 namespace {
@@ -31,11 +32,6 @@
 // After the last answer, so long and so much is dropped: a close with bytes unread would reset it away.
 constexpr milliseconds kDrain{1000};
 constexpr std::size_t kMostDrained = 80 << 20;
-// What may go where room is short: idle connections after so long, silent ones, and those in the middle of a
-// request. A usual client sends its request whole, as soon as it has connected.
-constexpr milliseconds kRested{2000};
-constexpr milliseconds kSilent{300};
-constexpr milliseconds kSlow{600};
 constexpr const char* kComeAgain = "0.3";  // seconds, for whoever found no room or a stop
 
 std::string seconds(milliseconds span) {
@@ -44,8 +40,13 @@
     return text;
 }
 
+/// The statuses that there are, each a counter.
+void countAnswer(int status) { metrics::counter("answers_total", "status", std::to_string(status)).add(); }
+
 /// No room: told so at once, without a thread, and never waited for.
 void turnAway(const net::Fd& fd) {
+    static auto& turnedAway = metrics::counter("connections_turned_away_total");
+    turnedAway.add();
     static const auto text = http::response(503, {{"Retry-After", kComeAgain}}, "no room\n", false);
     send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     net::shutWriting(fd.get());
@@ -116,7 +117,7 @@
         } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
             log::warning() << "front: accept: " << std::strerror(errno);
             std::unique_lock lock(mutex_);
-            makeRoom(Worth::all);
+            makeRoom(rules::Worth::all);
             changed_.wait_for(lock, kPause, [this] { return deaf_.load(); });
         } else if (errno != EINTR && errno != ECONNABORTED) {
             log::warning() << "front: accept: " << std::strerror(errno);
@@ -135,10 +136,11 @@
     const auto leaving = static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return c.shut; }));
     const auto staying = connections_.size() - leaving;
-    const bool room = connections_.size() < most_ + kLeaving && (staying < most_ || makeRoom(Worth::all));
+    const bool room =
+        connections_.size() < most_ + kLeaving && (staying < most_ || makeRoom(rules::Worth::all));
     // Danger: clients that ask once and keep their connection add up, and with each goes a thread whose stack
     // stays in memory. Long before room is short, those that have rested make way one by one.
-    if (staying < most_ && staying >= most_ / 4) makeRoom(Worth::rested);
+    if (staying < most_ && staying >= most_ / 4) makeRoom(rules::Worth::rested);
     if (!room) {
         lock.unlock();
         return turnAway(fd);
@@ -155,33 +157,23 @@
     }
 }
 
-// Danger: clients that open connections and send nothing, or half a request, would take them all. Those that
-// have had their last answer go first, then the one that stood longest between requests (its client sends
-// again on a new one), then the one silent longest since it connected, then the one slowest with its request.
-// Where usual clients connect anew for each message and stay, none has rested yet: a newcomer's request is
-// worth more than any connection between requests, so the one used longest ago goes then.
-// None goes whose request has come whole, and none so young that a usual client might still be at it.
-bool Front::makeRoom(Worth least) {
+/// Tells the one connection to go that may best be done without: see rules::closeRank().
+bool Front::makeRoom(rules::Worth least) {
     using Phase = Connection::Phase;
     const auto now = net::Steady::now();
-    const auto rank = [now](const Connection& c) {  // 0: stays
-        const auto age = now - c.since;
-        if (c.shut) return 0;
-        if (c.phase == Phase::draining) return 5;
-        if (c.phase == Phase::idle) return age >= kRested ? 4 : 1;
-        if (c.phase == Phase::fresh && age >= kSilent) return 3;
-        return c.phase == Phase::reading && age >= kSlow ? 2 : 0;
-    };
+    const auto rank = [now](const Connection& c) { return rules::closeRank(c.phase, now - c.since, c.shut); };
     Connection* worst = nullptr;
     for (auto& c : connections_) {
         const int its = rank(c);
-        if (its == 0 || (least == Worth::rested && its < 4)) continue;
+        if (!rules::mayClose(its, least)) continue;
         if (worst && std::make_pair(its, worst->since) <= std::make_pair(rank(*worst), c.since)) continue;
         // Bytes that its thread has not come to yet may be a whole request.
         if (c.phase != Phase::draining && net::unread(c.fd.get()) == net::Unread::bytes) continue;
         worst = &c;
     }
     if (!worst) return false;
+    static auto& madeRoom = metrics::counter("connections_told_to_go_total", "reason", "room");
+    madeRoom.add();
     tellToGo(*worst);
     return true;
 }
@@ -256,6 +248,8 @@
     const auto refuse = [&](int status, const char* why) {
         enter(connection, Connection::Phase::answering);
         const http::Fields again{{"Retry-After", kComeAgain}};
+        countAnswer(status);
+        log::debug() << "front: " << status << ": " << std::string_view(why).substr(0, std::strlen(why) - 1);
         const auto text = http::response(status, status == 503 ? again : http::Fields{}, why, false);
         return net::sendAll(fd, text, net::Steady::now() + kWrite) == net::Io::done ? Next::drain
                                                                                     : Next::close;
@@ -278,11 +272,11 @@
         parser.feed(bytes);
     }
     if (parser.state() == State::bad) return refuse(parser.refusal(), "the request can't be taken\n");
-    switch (whole(parser.leftover(), net::unread(fd), toldToGo(connection))) {
-        case Whole::answer: return Next::request;
-        case Whole::refuse: return refuse(400, "more follows than the request's length says\n");
-        case Whole::turnAway: return refuse(503, "come again\n");
-        case Whole::leave: break;
+    switch (rules::whole(parser.leftover(), net::unread(fd), toldToGo(connection))) {
+        case rules::Whole::answer: return Next::request;
+        case rules::Whole::refuse: return refuse(400, "more follows than the request's length says\n");
+        case rules::Whole::turnAway: return refuse(503, "come again\n");
+        case rules::Whole::leave: break;
     }
     return Next::close;
 }
@@ -292,6 +286,7 @@
     const auto until = net::Steady::now() + kWrite;
     const auto say = [&](int status, const http::Fields& fields, std::string_view body) {
         keep = keep && !stopping_;  // asked last: a stop may have come since
+        countAnswer(status);
         const auto text = http::response(status, fields, request.method == "HEAD" ? "" : body, keep);
         if (net::sendAll(fd, text, until) != net::Io::done) return Next::close;
         return keep ? Next::request : Next::drain;
@@ -301,6 +296,9 @@
         keep = false;  // who gets that wrong may get the next one's beginning wrong too
         return say(denied->status, {}, denied->why + "\n");
     }
+    if (std::holds_alternative<Metrics>(asked))
+        return metrics_ ? say(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_())
+                        : say(404, {}, "no such path\n");
     if (std::holds_alternative<Ready>(asked))
         return ready_ ? say(200, {}, "ready\n") : say(503, {}, "stopping\n");
     const auto& message = std::get<decisions::HandIn>(asked);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <list>
 #include <mutex>
 #include <string>
@@ -11,6 +12,7 @@
 #include "decisions/decisions.hpp"
 #include "http/message.hpp"
 #include "net/socket.hpp"
+#include "rules/connection_rules.hpp"
 #include "threads/thread.hpp"
 
 namespace laurelhaven::front {
@@ -23,6 +25,8 @@
     void start();
     /// From now on /health/ready answers 503; everything else goes on.
     void drain() { ready_ = false; }
+    /// What GET /metrics answers; nothing: 404. Set before start().
+    void setMetrics(std::function<std::string()> text) { metrics_ = std::move(text); }
     /// No new connections; those open end after the request that they are in.
     void stop();
     std::size_t connections();
@@ -31,9 +35,8 @@
   private:
     struct Connection {
         net::Fd fd;
-        /// fresh: nothing has come yet; draining: its last answer is written, and what still comes is
-        /// dropped.
-        enum class Phase { fresh, reading, answering, idle, draining, over } phase = Phase::fresh;
+        using Phase = rules::ConnectionPhase;
+        Phase phase = Phase::fresh;
         net::Deadline since;
         bool shut = false;
         threads::Thread thread;
@@ -43,8 +46,7 @@
 
     void accept();
     void admit(net::Fd fd);
-    enum class Worth { rested, all };  ///< what may go: what is done with, or whatever may at all
-    bool makeRoom(Worth least);
+    bool makeRoom(rules::Worth least);
     void reap(std::unique_lock<std::mutex>& lock);
     void serve(Connection& connection);
     void enter(Connection& connection, Connection::Phase phase);
@@ -58,6 +60,7 @@
     decisions::Decisions& decisions_;
     net::Fd listener_;
     std::size_t most_;
+    std::function<std::string()> metrics_;
     /// stopping: answers say that the connection ends. deaf: nobody is let in any more. closing: whoever has
     /// sent nothing since is shut.
     std::atomic<bool> ready_{false}, stopping_{false}, deaf_{false};
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -23,14 +23,19 @@
 
 }  // namespace
 
-std::variant<decisions::HandIn, Ready, Denied> intake(const config::Config& config, http::Message& request,
-                                                      decisions::Moment came) {
+std::variant<decisions::HandIn, Ready, Metrics, Denied> intake(const config::Config& config,
+                                                               http::Message& request,
+                                                               decisions::Moment came) {
     const std::string path = request.target.substr(0, request.target.find('?'));
     const bool get = request.method == "GET" || request.method == "HEAD";
     if (path == "/health/ready") {
         if (get) return Ready{};
         return Denied{405, "use GET"};
     }
+    if (path == "/metrics") {
+        if (get) return Metrics{};
+        return Denied{405, "use GET"};
+    }
     const int grade = position(config.classes, std::string_view(path).substr(path.empty() ? 0 : 1));
     if (path.empty() || path[0] != '/' || grade < 0) return Denied{404, "no such path"};
     if (request.method != "POST") return Denied{405, "use POST"};
@@ -75,17 +80,4 @@
     return message;
 }
 
-// Danger: a length that is too short leaves the rest of the body where the next request would begin, and
-// whoever wrote that body chose it. Clients send one request at a time, so bytes behind it are no request.
-// Danger: where room is short, or at a stop, we end a connection's reading ourselves. A request may have come
-// whole before that while its thread had no turn on a busy core; its client is still there, and would get no
-// answer at all.
-// Danger: a client may end its sending behind a request and wait for the answer. It can't be told from one
-// that has given up, whose message would be delivered for nothing; so it is asked to come again.
-Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo) {
-    if (leftover > 0 || behind == net::Unread::bytes) return Whole::refuse;
-    if (behind == net::Unread::broken) return Whole::leave;
-    return behind == net::Unread::end && !toldToGo ? Whole::turnAway : Whole::answer;
-}
-
 }  // namespace laurelhaven::front
--- a/src/front/intake.hpp
+++ b/src/front/intake.hpp
@@ -12,7 +12,8 @@
 
 namespace laurelhaven::front {
 
-struct Ready {};  ///< asks whether the sender serves
+struct Ready {};    ///< asks whether the sender serves
+struct Metrics {};  ///< asks for counters and gauges
 /// An answer that needs no decision.
 struct Denied {
     int status = 400;
@@ -20,18 +21,8 @@
 };
 
 /// `came`: when the request's first byte did; the client's time runs from before then.
-std::variant<decisions::HandIn, Ready, Denied> intake(const config::Config& config, http::Message& request,
-                                                      decisions::Moment came);
-
-/// What becomes of a request that has come whole.
-enum class Whole {
-    answer,
-    refuse,    ///< more came than one request
-    turnAway,  ///< its client has ended its sending, and may have given up
-    leave      ///< the connection is gone: nobody would hear an answer
-};
-/// `leftover`: bytes read behind it. `behind`: what the connection holds now. `toldToGo`: we ended its
-/// reading.
-Whole whole(std::size_t leftover, net::Unread behind, bool toldToGo);
+std::variant<decisions::HandIn, Ready, Metrics, Denied> intake(const config::Config& config,
+                                                               http::Message& request,
+                                                               decisions::Moment came);
 
 }  // namespace laurelhaven::front
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,6 +25,7 @@
 #include "discovery/discovery.hpp"
 #include "front/front.hpp"
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 #include "notices/notices.hpp"
 #include "registry/registry.hpp"
 #include "roster/roster.hpp"
@@ -136,6 +137,10 @@
     registry::Registry registry(discovery, roster, own.registry, config.seed);
     front::Front front(config, decisions);
 
+    metrics::setGauge("messages_held", [&] { return static_cast<double>(decisions.held()); });
+    metrics::setGauge("attempts_out", [&] { return static_cast<double>(decisions.out()); });
+    metrics::setGauge("notices_owed", [&] { return static_cast<double>(notices.owed()); });
+    front.setMetrics(metrics::text);
     roster.begin();
     for (const auto& notice : recovered.notices) notices.add(notice);
     const auto late = decisions.restore(recovered.messages, roster.healthKnownUntil());
@@ -183,7 +188,8 @@
             .kv("written", c.written)
             .kv("dropped", c.dropped)
             .kv("bytes", c.bytes);
-    log::info() << "stopped, " << decisions.held() << " messages left to the store";
+    (log::info() << "stopped, " << decisions.held() << " messages left to the store")
+        .kv("rule_violations", decisions.violations().all());
     return 0;
 }
 
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -1,10 +1,13 @@
 #include "notices/notices.hpp"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <string_view>
 
 #include "http/message.hpp"
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::notices {
 namespace {
@@ -65,6 +68,8 @@
         }
         const auto place = discovery_.place();
         const Answer answer = post(place, body);
+        static constexpr std::array<std::string_view, 4> kAnswers{"heard", "unreadable", "none", "local"};
+        metrics::counter("notice_posts_total", "answer", kAnswers[static_cast<std::size_t>(answer)]).add();
         if (answer == Answer::unreadable && ids.size() > 1) {
             oneByOne_ = true;  // one bad line must not hold up the others
             continue;
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -1,11 +1,13 @@
 #include "registry/registry.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <utility>
 
 #include "http/message.hpp"
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::registry {
 namespace {
@@ -169,6 +171,8 @@
             continue;
         }
         const auto watch = follow(place, stopped);
+        static constexpr std::array<std::string_view, 4> kEnds{"useful", "refused", "silent", "failed"};
+        metrics::counter("watches_total", "end", kEnds[static_cast<std::size_t>(watch)]).add();
         roster_.lost();
         // What was silent took its time already: another call stands in wait for what discovery will tell.
         failures = watch == Watch::useful || watch == Watch::silent ? 0 : failures + 1;
--- a/src/rules/send_rules.cpp
+++ b/src/rules/send_rules.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "metrics/metrics.hpp"
+
 namespace laurelhaven::rules {
 namespace {
 
@@ -99,15 +101,17 @@
     const std::lock_guard lock(mutex_);
     auto refusal = checkLocked(attempt, now);
     if (refusal == Refusal::none && open_.count(attempt.message)) refusal = Refusal::alreadyOpen;
+    if (refusal == Refusal::alreadyOpen)
+        violations_.count(Rule::overlap, attempt.message, "another attempt is open");
     if (refusal == Refusal::none) open_.emplace(attempt.message, now);
-    else ++refused_[static_cast<std::size_t>(refusal)];
+    else metrics::counter("attempts_refused_total", "reason", name(refusal)).add();
     return refusal;
 }
 
 void SendRules::sent(const Attempt& attempt, Moment at) {
     const std::lock_guard lock(mutex_);
     const auto subject = attempt.message + " to " + attempt.endpoint;
-    if (!open_.count(attempt.message)) violations_.count(Rule::overlap, subject, "sent without being open");
+    if (!open_.count(attempt.message)) violations_.count(Rule::record, subject, "sent, and not on record");
     if (attempt.number > limits_.attempts)
         violations_.count(Rule::attempts, subject, "attempt " + std::to_string(attempt.number));
     if (at >= attempt.giveUpAt + kHeldUp)
@@ -139,9 +143,5 @@
     const std::lock_guard lock(mutex_);
     return endpoints_.size();
 }
-std::uint64_t SendRules::refused(Refusal refusal) const {
-    const std::lock_guard lock(mutex_);
-    return refused_[static_cast<std::size_t>(refusal)];
-}
 
 }  // namespace laurelhaven::rules
--- a/src/rules/send_rules.hpp
+++ b/src/rules/send_rules.hpp
@@ -86,8 +86,6 @@
     std::size_t open() const;
     std::size_t waits() const;
     std::size_t endpoints() const;
-    /// Attempts that were refused, by reason.
-    std::uint64_t refused(Refusal refusal) const;
 
   private:
     struct Wait {
@@ -102,7 +100,6 @@
     std::unordered_map<std::string, Moment> endedAt_;  ///< endpoints that drain or have gone, since when
     std::map<std::uint64_t, Wait> waits_;              ///< by destination
     std::unordered_map<std::string, Moment> open_;     ///< attempts by message, since when
-    std::array<std::uint64_t, 8> refused_{};
 };
 
 }  // namespace laurelhaven::rules
--- a/src/rules/violations.cpp
+++ b/src/rules/violations.cpp
@@ -3,18 +3,20 @@
 #include <numeric>
 
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::rules {
 
 std::string_view name(Rule rule) {
-    constexpr std::array<std::string_view, kRules> kNames{
-        "drain",    "wait",       "overlap",      "attempts", "record",
-        "deadline", "key_window", "final_answer", "late_end", "unanswered"};
+    constexpr std::array<std::string_view, kRules> kNames{"drain",      "wait",         "overlap",
+                                                          "attempts",   "record",       "deadline",
+                                                          "key_window", "final_answer", "late_end"};
     return kNames[static_cast<std::size_t>(rule)];
 }
 
 void Violations::count(Rule rule, std::string_view subject, std::string_view detail) {
     ++counts_[static_cast<std::size_t>(rule)];
+    metrics::counter("rule_violations_total", "rule", name(rule)).add();
     (log::error() << "rule violated").kv("rule", name(rule)).kv("subject", subject).kv("detail", detail);
 }
 
--- a/src/rules/violations.hpp
+++ b/src/rules/violations.hpp
@@ -20,10 +20,9 @@
     deadline,     ///< no call begins after its message's deadline
     keyWindow,    ///< no repeat outside its key's window
     finalAnswer,  ///< one end for each message that was taken on
-    lateEnd,      ///< and that in time
-    unanswered    ///< no whole request without an answer
+    lateEnd       ///< and that in time
 };
-constexpr std::size_t kRules = 10;
+constexpr std::size_t kRules = 9;
 std::string_view name(Rule rule);
 
 /// Counts violations. Safe for use by several threads.
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 #include "store/frame.hpp"
 
 namespace laurelhaven::store {
@@ -329,6 +330,8 @@
 
 /// One line when the trouble begins, not one for each record.
 void Journal::noteFailure(const char* what) {
+    static auto& failures = metrics::counter("journal_failures_total");
+    failures.add();
     if (!std::exchange(failing_, true))
         log::error() << "journal: can't " << what << ": " << std::strerror(errno);
 }
--- a/tests/laurelhaven/parser_test.cpp
+++ b/tests/laurelhaven/parser_test.cpp
@@ -8,6 +8,7 @@
 #include "http/message.hpp"
 #include "log/log.hpp"
 #include "registry/registry.hpp"
+#include "rules/connection_rules.hpp"
 
 using namespace laurelhaven;
 using http::Parser;
@@ -246,17 +247,17 @@
 // A request that came whole is answered, though we ended the reading; one whose client has gone may come
 // again.
 void whatCameWholeIsAnswered() {
-    using front::Whole;
     using net::Unread;
+    using rules::Whole;
     for (const bool told : {false, true}) {
-        CHECK(front::whole(0, Unread::nothing, told) == Whole::answer);
-        CHECK(front::whole(0, Unread::bytes, told) == Whole::refuse);
-        CHECK(front::whole(3, Unread::end, told) == Whole::refuse);
+        CHECK(rules::whole(0, Unread::nothing, told) == Whole::answer);
+        CHECK(rules::whole(0, Unread::bytes, told) == Whole::refuse);
+        CHECK(rules::whole(3, Unread::end, told) == Whole::refuse);
     }
-    CHECK(front::whole(0, Unread::end, false) == Whole::turnAway);
-    CHECK(front::whole(0, Unread::broken, false) == Whole::leave);
-    CHECK(front::whole(0, Unread::broken, true) == Whole::leave);
-    CHECK(front::whole(0, Unread::end, true) == Whole::answer);
+    CHECK(rules::whole(0, Unread::end, false) == Whole::turnAway);
+    CHECK(rules::whole(0, Unread::broken, false) == Whole::leave);
+    CHECK(rules::whole(0, Unread::broken, true) == Whole::leave);
+    CHECK(rules::whole(0, Unread::end, true) == Whole::answer);
 }
 
 void badConfigurationIsNamed() {
--- a/tests/program/client_answers_test.cpp
+++ b/tests/program/client_answers_test.cpp
@@ -31,4 +31,31 @@
     EXPECT_EQ(program.end(SIGTERM), 0);
 }
 
+// Counters can be read where clients connect, and tell what the process has done.
+TEST(ClientAnswers, MetricsAreAnswered) {
+    const Folder folder;
+    Platform platform;
+    Stub endpoint([](http::Message&) { return answer(200); });
+    platform.watch = list(9, true, entry("a", endpoint.at(), 7)) + "\n";
+    Program program(folder.path, platform, entry("a", endpoint.at(), 7));
+    ASSERT_EQ(program.status(handIn("m")), 202);
+    const auto metrics = [&] {
+        const auto fd = program.connection();
+        net::sendAll(fd.get(), "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n", soon());
+        std::string got;
+        while (net::receive(fd.get(), got, soon()) == net::Io::done) {
+        }
+        return got;
+    };
+    await([&] {
+        return metrics().find("laurelhaven_calls_total{ending=\"delivered\"} 1") != std::string::npos;
+    });
+    const auto text = metrics();
+    EXPECT_NE(text.find("laurelhaven_messages_total{verdict=\"taken\"} 1"), std::string::npos) << text;
+    EXPECT_NE(text.find("laurelhaven_messages_held 0"), std::string::npos) << text;
+    EXPECT_EQ(text.find("rule_violations_total"), std::string::npos) << text;
+    EXPECT_EQ(program.status("POST /metrics HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), 405);
+    EXPECT_EQ(program.end(SIGTERM), 0);
+}
+
 }  // namespace
