Take the retry bucket and the constants out of brain.cpp; reset what the shim aborts

Need: readable code in small modules; brain.cpp was over a thousand lines.

Change: src/retry_bucket.hpp has the bucket as a class with its books, src/tuning.hpp the constants; brain.cpp is 130 lines shorter and decides as before. The shim resets what it aborts.

--- a/lab/shim/fault_shim.cpp
+++ b/lab/shim/fault_shim.cpp
@@ -157,6 +157,9 @@
         if (error == ECONNABORTED) {
             const int lost = libc(fd, from, size, flags);
             if (lost < 0) return lost;
+            // Its client is told so by a reset, as of any connection that was aborted.
+            const linger reset{1, 0};
+            setsockopt(lost, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
             close(lost);
         }
         errno = error;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,147 +7,17 @@
 #include <unordered_map>
 #include <utility>
 
+#include "retry_bucket.hpp"
 #include "settings.hpp"
 #include "stoathub/stoathub.hpp"
+#include "tuning.hpp"
 
 namespace stoathub {
 namespace {
 
-using Sec = double;  // seconds since the sender's first turn
-constexpr Sec kNever = 1e18;
-
-// ---- tuned values ----
-// The retry design (DESIGN gives the figures; where it says "open" the reason stands here).
-constexpr double kBucketCapacity = 50;     // tokens
-constexpr double kRetryCost = 5;           // tokens for a retry
-constexpr double kThrottledCost = 10;      // tokens for a retry after a refusal as full
-constexpr double kRefund = 1;              // tokens back for a success
-constexpr double kFirstTriesPerRetry = 3;  // first tries that let time refill one retry's cost
-constexpr double kRefillPerSecond = 5;     // tokens; one retry a second, as far as first tries allow
-constexpr Sec kBackoffBase = 0.2;          // doubled with each attempt
-constexpr double kBackoffFloor = 0.25;     // the random fraction of the range is this or more: never at once
-constexpr double kWindowPart = 0.75;       // of the slots, where the window starts and its upper bound
-// The window's steps.
-constexpr double kLongRun = 3;       // smoothed latency over its best: halve
-constexpr double kShortRun = 2;      // and below this regrow
-constexpr double kWindowStep = 0.5;  // calls regained for a success
-constexpr double kSmooth = 0.15;     // weight of a new latency or outcome in its average
-constexpr double kBestDrift = 0.02;  // how fast the best latency forgets, for each success
-constexpr double kFailing = 0.5;     // success share below which a destination counts as failing
-constexpr double kOldWaits = 4;      // times the backoff for a message past its aim
-constexpr Sec kUnsentPause = 0.05;  // before a message whose call never left is tried anew, doubled each time
-constexpr int kUnsentDoubles = 4;   // at most so often
-// Outages and returns.
-constexpr int kStreak = 3;          // failures on end that make an outage
-constexpr int kVague = 2;           // calls on end without an answer; one alone may have been merely slow
-constexpr int kFullStreak = 4;      // refusals on end that make one, if they last as below:
-constexpr Sec kFullSpan = 2.2;      // longer than a limit counts, so not merely a limit reached
-constexpr int kFewFull = 2;         // refusals on end that make one where a destination is met seldom,
-constexpr Sec kFewSpan = 0.8;       // so far apart that a limit would mostly have let one through
-constexpr double kAmple = 0.5;      // share of the limit left at a refusal that speaks for a shut destination
-constexpr double kMostFail = 0.4;   // success share under which most calls fail
-constexpr double kRegained = 0.5;   // the share taken when a success ends an outage
-constexpr double kTrickle = 0.8;    // part of the cold budget that is spent during an outage
-constexpr double kRamp = 1.25;      // calls over what a returning destination can do
-constexpr double kFairFloor = 0.5;  // calls a second: least part of a destination taken as ours
-constexpr double kLone = 1.5;  // messages in its time to deliver, for which a rare one stands in an outage
-constexpr double kRateFade = 0.03;  // how fast the best delivered rate is forgotten, a second
-// A destination in doubt: the trickle of an outage until it first delivers. From then on the senders
-// together stay under the fall multiple: it falls over at 2 times 19% of its capacity, and gets 0.25 times
-// that and 1.4 times what it delivers.
-constexpr double kDoubtBase = 0.25;  // part of the cold budget that is spent whatever comes back
-constexpr double kDoubtGain = 1.4;   // calls that a delivery allows
-constexpr double kDoubtMost = 8;     // of them that may be saved up
-// The pace below a limit.
-constexpr Sec kBurst = 0.3;         // seconds of the pace that may be saved up
-constexpr double kBurstMost = 20;   // calls a second beyond which saving up stops
-constexpr double kCut = 0.85;       // of the pace, after a refusal above the limit
-constexpr Sec kCutPause = 1.0;      // at most once in this time
-constexpr double kGrow = 0.02;      // of the pace regained for each success
-constexpr double kCatchUp = 0.1;    // of the gap to this sender's part regained for each success ...
-constexpr Sec kCalm = 3;            // ... times the time since a refusal over this,
-constexpr double kCalmMost = 3;     // at most
-constexpr Sec kRateSpan = 2.0;      // over which the rate of sends is smoothed
-constexpr double kPaceFloor = 0.3;  // calls a second that are always tried
-constexpr int kFewSenders = 8;      // so few see each destination often enough for streaks and averages
-constexpr double kSparse = 1;       // calls a second: a smaller part is too little to be paced by
-// One of very many senders at a told limit.
-constexpr double kEqual = 0.9;       // of the limit that the senders' equal parts add up to
-constexpr double kRoom = 0.5;        // of a call that an answer allows besides, times the share left
-constexpr double kWornRoom = 0.25;   // the same in a warm-up after refusals, whatever share is left
-constexpr double kColdRoom = 0.6;    // and after an outage without answers, as far as the fall multiple
-constexpr double kFallSlack = 0.15;  // leaves so much beside kRamp
-constexpr double kUntoldRoom = 0.6;  // taken for that share where a delivery tells none
-constexpr double kMore = 0.15;       // of the equal part that a delivery adds, times the same
-constexpr double kMostParts = 5;     // equal parts that one sender comes to at most
-constexpr double kEase = 0.7;        // of the part, after a refusal above the limit
-constexpr double kLeastPart = 0.4;   // equal parts that are left at least
-constexpr Sec kPartFades = 8;        // over which a part comes back to the equal one
-// Single endpoints.
-constexpr int kShunAfter = 2;  // failures on end; one is enough where no connection was made
-constexpr Sec kShun = 0.5;     // first time left alone, then doubled
-constexpr Sec kShunMost = 4;
-// The choice among messages.
-constexpr Sec kHorizon = 3;       // how much later the alternative to sending now is taken to be
-constexpr Sec kLeastTakes = 0.1;  // least time a call is taken to need
-// Time-outs.
-constexpr double kPatience = 6;        // times the smoothed latency until a repeatable call is given up
-constexpr Sec kLeastPatience = 1.5;    // and at least this long
-constexpr double kUnsafePatience = 4;  // a time-out ends an unsafe message: wait so much longer
-constexpr double kSilent = 4;          // times the latency without an answer to anything: silence
-constexpr Sec kJamPatience = 2;        // out so long, a silent call yields its slot to a message that waits
-constexpr double kJamUnsafe = 2;       // times that for one that may not be repeated
-constexpr int kSilentCalls = 2;        // calls without an answer that make it so
-constexpr Sec kLeastSilence = 1.2;     // and at least this long
-constexpr Sec kFirstLatency = 0.4;     // taken until a destination has answered
-constexpr Sec kTick = 0.01;            // least time between two looks at held messages
-constexpr Sec kSoon = 0.25;            // longest time until a message that the pace holds is looked at again
-constexpr Sec kForget = 30;            // after a warm-up, a destination with no endpoint is forgotten
-constexpr Sec kGuard = 1e-6;           // keeps rounding from ending a wait early
-constexpr Sec kAnswerMargin = 0.005;   // final answers go out this long before the deadline
-constexpr double kDropped = 0.5;       // share of calls on kept connections without an answer: none is kept
-constexpr Sec kScarce = 60;            // after a connection was refused, none is kept at that kind
-constexpr Sec kScarceTold = 8;         // and so long after it was turned away, as one that is shut does, too
-constexpr Sec kRefollow = 1.0;         // first pause before the list is asked for again
-constexpr Sec kRefollowMost = 8.0;     // and the longest
-
 Sec seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration duration(Sec s) { return Duration(static_cast<std::int64_t>(s * 1e9)); }
 
-/// The bucket of a destination: pays for retries, never for first tries.
-struct Bucket {
-    double tokens = kBucketCapacity;
-    double allowance = 0;  // what time may still refill: earned by first tries
-    Sec at = 0;
-    double gained = 0, spent = 0;  // the books: tokens are the capacity, plus this, less that
-
-    void refill(Sec t) {
-        const double gain = std::min({kRefillPerSecond * (t - at), allowance, kBucketCapacity - tokens});
-        add(gain);
-        allowance -= gain;
-        at = t;
-    }
-    void add(double more) {
-        const double before = tokens;
-        tokens = std::min(tokens + more, kBucketCapacity);
-        gained += tokens - before;
-    }
-    void firstTry() { allowance = std::min(allowance + kRetryCost / kFirstTriesPerRetry, kBucketCapacity); }
-    void takeBackFirstTry() { allowance = std::max(0.0, allowance - kRetryCost / kFirstTriesPerRetry); }
-    void giveBack(double cost) {
-        spent -= cost;
-        gained -= cost;
-        add(cost);
-    }
-    bool pay(double cost, Sec t) {
-        refill(t);
-        if (tokens < cost) return false;
-        tokens -= cost;
-        spent += cost;
-        return true;
-    }
-};
-
 /// What limits, waits and outages belong to: a destination, or one route where routes are apart.
 struct Owner {
     double window = 0;
@@ -214,7 +84,7 @@
 
 struct Place {  // a destination
     Owner own;
-    Bucket bucket;
+    RetryBucket bucket;
     int calls = 0;
     int held = 0;  // messages
     std::vector<Target*> targets;
@@ -293,7 +163,8 @@
     std::vector<Balance> balances() const {
         std::vector<Balance> all;
         for (const auto& [id, dest] : places_)
-            all.push_back({id, dest.bucket.tokens, kBucketCapacity, dest.bucket.gained, dest.bucket.spent});
+            all.push_back(
+                {id, dest.bucket.tokens(), kBucketCapacity, dest.bucket.gained(), dest.bucket.spent()});
         return all;
     }
 
