End the watch, not the process, where no thread is to be had for the whole list

Cause: threads::Thread throws where pthread_create fails, and nothing in Registry::follow() took it.

Change: the watch ends with a warning, and the next one asks; between the two is the pause after any lost watch.

--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <system_error>
 #include <utility>
 
 #include "http/message.hpp"
@@ -249,13 +250,20 @@
     // asked for beside the stream.
     const auto askWhole = [&](bool thenAgain) {
         if (asking.exchange(true)) return;
-        asker = threads::Thread("whole list", [&, thenAgain] {
+        const auto fetchWhole = [&, thenAgain] {
             const auto merged = fetch(place, over.get_token());
             if (merged) verified = true;
             asking = false;
             // The stream was asked for what comes after another version.
             if (merged && (thenAgain || *merged == Kind::lostHistory)) net::shut(raw);
-        });
+        };
+        try {
+            asker = threads::Thread("whole list", fetchWhole);
+        } catch (const std::system_error& e) {
+            // The next watch asks; this one is not known to count as we do.
+            log::warning() << "registry: the whole list can't be asked for: " << e.what();
+            net::shut(raw);
+        }
     };
     const auto news = [&](const listing::Listing& list) {
         logNews(list);
