--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -124,7 +124,7 @@
     return false;
 }
 
-void Decisions::sent(const Call& call) { sendRules_.sent(attemptOf(call), Steady::now()); }
+void Decisions::sent(const Call& call, Moment firstByteAt) { sendRules_.sent(attemptOf(call), firstByteAt); }
 
 void Decisions::neverLeft(const Call& call) {
     const std::lock_guard lock(mutex_);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -109,8 +109,8 @@
     std::optional<Call> pick();
     /// Asked just before the call's first byte: does it still hold? If so the attempt is on record.
     bool begin(const Call& call);
-    /// Its last byte has been written: the attempt is held against the rules.
-    void sent(const Call& call);
+    /// It has been written, its first byte at that moment: the attempt is held against the rules.
+    void sent(const Call& call, Moment firstByteAt);
 
     Verdict report(const HandIn& message);
     /// Put on record also once stopped: a later life must know what was heard.
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -155,9 +155,10 @@
     http::Fields fields{{"Req-Id", call.id}, {"Req-Deadline-Ms", std::to_string(std::max<long>(left, 1))}};
     if (!call.key.empty()) fields.emplace_back("Idempotency-Key", call.key);
     const auto bytes = http::request("POST", "/hook", call.address, fields, *call.body);
+    const auto firstByteAt = net::Steady::now();
     if (net::sendAll(fd, bytes, call.until) != net::Io::done) return ended(Ending::noConnection);
     const auto sentAt = net::Steady::now();
-    decisions_.sent(call);
+    decisions_.sent(call, firstByteAt);
     auto result = answer(call, fd, keep);
     result.stale = warm && result.ending == Ending::reset && net::Steady::now() - sentAt < kCrossed;
     return result;
--- a/src/kept/kept.cpp
+++ b/src/kept/kept.cpp
@@ -229,7 +229,12 @@
 
 Loaded File::load(RecordMs now) {
     Loaded made;
-    const net::Fd fd(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
+    net::Fd fd;
+    for (int tries = 0; !fd && tries < kReadTries; ++tries) {
+        if (tries > 0) std::this_thread::sleep_for(kReadPause);
+        fd = net::Fd(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
+        if (!fd && errno == ENOENT) break;
+    }
     if (!fd) {
         if (errno != ENOENT) {
             made.state = State::damaged;
--- a/src/rules/send_rules.hpp
+++ b/src/rules/send_rules.hpp
@@ -78,7 +78,7 @@
     Refusal check(const Attempt& attempt, Moment now) const;
     /// Checks, and opens the attempt where nothing speaks against it.
     Refusal begin(const Attempt& attempt, Moment now);
-    /// Its bytes have left, by then at the latest: what was told in between is held against the rules.
+    /// It has been written, its first byte at that moment: that is held against the rules.
     void sent(const Attempt& attempt, Moment at);
     /// The attempt has its outcome, or never left.
     void end(const std::string& message);
