--- a/lab/soak/troubles.cpp
+++ b/lab/soak/troubles.cpp
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-const char* name(Kind kind) {
+std::string name(Kind kind) {
     constexpr std::array<const char*, kKinds> kNames{
         "stop",          "kill",           "reload",     "hold-up", "wall-step",    "disk",
         "accept",        "local-socket",   "interrupts", "broken",  "rude-clients", "discovery-silent",
@@ -84,7 +84,7 @@
     char line[160];
     std::snprintf(line, sizeof line, "%.3f s, %.3f s long: %s %s %zu (%lld)",
                   static_cast<double>(t.at.count()) / 1000, static_cast<double>(t.span.count()) / 1000,
-                  name(t.kind), ofPartner(t.kind) ? "partner" : "sender", t.target,
+                  name(t.kind).c_str(), ofPartner(t.kind) ? "partner" : "sender", t.target,
                   static_cast<long long>(t.parameter));
     return line;
 }
--- a/lab/soak/troubles.hpp
+++ b/lab/soak/troubles.hpp
@@ -39,7 +39,7 @@
     drains      ///< one endpoint drains and is replaced
 };
 constexpr int kKinds = static_cast<int>(Kind::drains) + 1;
-const char* name(Kind kind);
+std::string name(Kind kind);
 
 struct Trouble {
     milliseconds at{}, span{};
--- a/src/clock/record_clock.cpp
+++ b/src/clock/record_clock.cpp
@@ -99,7 +99,6 @@
 
 // A process may be killed at any byte: the anchor takes its name once it is whole.
 bool RecordClock::persist() {
-    if (persisted_) return true;
     const std::lock_guard lock(writing_);
     if (persisted_) return true;
     const auto fresh = path_ + ".new";
--- a/src/clock/record_clock.hpp
+++ b/src/clock/record_clock.hpp
@@ -8,7 +8,6 @@
 // the line is anchored anew.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <optional>
@@ -55,8 +54,8 @@
   private:
     std::string path_;  // of the anchor; empty: of this process alone
     Anchor anchor_;
-    std::atomic<bool> persisted_{false};
     std::mutex writing_;
+    bool persisted_ = false;
 };
 
 /// A time line of this process, shared by all that keep nothing.
