Take out of SendRules what nobody asks it

Cause: read once more: endpoint(), open(), endpoints() and the facade's way to them had no caller, and open attempts kept a time that nobody reads.

Change: they go; open attempts are a set. Behaviour is the same.

--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -141,9 +141,8 @@
         std::size_t held = 0, endpoints = 0, destinations = 0, waits = 0;
     };
     Counts counts() const;
-    /// Rules that were seen broken, and attempts that were refused in their last moment.
+    /// Rules that were seen broken.
     const rules::Violations& violations() const { return violations_; }
-    const rules::SendRules& sendRules() const { return sendRules_; }
 
     /// A destination's retry bucket: see stoathub::Balance.
     struct Balance {
--- a/src/rules/send_rules.cpp
+++ b/src/rules/send_rules.cpp
@@ -51,13 +51,6 @@
     if (endpoints_.erase(name) > 0) endedAt_.try_emplace(name, now);
 }
 
-std::optional<Endpoint> SendRules::endpoint(const std::string& name) const {
-    const std::lock_guard lock(mutex_);
-    const auto it = endpoints_.find(name);
-    if (it == endpoints_.end()) return {};
-    return it->second;
-}
-
 void SendRules::tellWait(std::uint64_t destination, Moment until, Moment now) {
     const std::lock_guard lock(mutex_);
     const auto [it, fresh] = waits_.try_emplace(destination, Wait{now, until});
@@ -103,7 +96,7 @@
     if (refusal == Refusal::none && open_.count(attempt.message)) refusal = Refusal::alreadyOpen;
     if (refusal == Refusal::alreadyOpen)
         violations_.count(Rule::overlap, attempt.message, "another attempt is open");
-    if (refusal == Refusal::none) open_.emplace(attempt.message, now);
+    if (refusal == Refusal::none) open_.insert(attempt.message);
     else metrics::counter("attempts_refused_total", "reason", name(refusal)).add();
     return refusal;
 }
@@ -131,17 +124,9 @@
     open_.erase(message);
 }
 
-std::size_t SendRules::open() const {
-    const std::lock_guard lock(mutex_);
-    return open_.size();
-}
 std::size_t SendRules::waits() const {
     const std::lock_guard lock(mutex_);
     return waits_.size();
 }
-std::size_t SendRules::endpoints() const {
-    const std::lock_guard lock(mutex_);
-    return endpoints_.size();
-}
 
 }  // namespace laurelhaven::rules
--- a/src/rules/send_rules.hpp
+++ b/src/rules/send_rules.hpp
@@ -11,9 +11,9 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "rules/violations.hpp"
 
@@ -66,7 +66,6 @@
     /// It drains, or has gone: nothing new may begin there from now on.
     void endEndpoint(const std::string& name, Moment now);
     void removeEndpoint(const std::string& name, Moment now);
-    std::optional<Endpoint> endpoint(const std::string& name) const;
     /// Nothing may go to the destination until then. The later of two waits holds.
     void tellWait(std::uint64_t destination, Moment until, Moment now);
     /// The end of the wait that the destination told last; in the past where there is none.
@@ -83,9 +82,7 @@
     /// The attempt has its outcome, or never left.
     void end(const std::string& message);
 
-    std::size_t open() const;
     std::size_t waits() const;
-    std::size_t endpoints() const;
 
   private:
     struct Wait {
@@ -99,7 +96,7 @@
     std::unordered_map<std::string, Endpoint> endpoints_;
     std::unordered_map<std::string, Moment> endedAt_;  ///< endpoints that drain or have gone, since when
     std::map<std::uint64_t, Wait> waits_;              ///< by destination
-    std::unordered_map<std::string, Moment> open_;     ///< attempts by message, since when
+    std::unordered_set<std::string> open_;             ///< messages with an attempt that has no outcome
 };
 
 }  // namespace laurelhaven::rules
