Ask discovery again within 4.4 s after a refusal, in a fleet of any size

A second fault beside it, found by reading: the pause was counted from a call's end, and a refusal may take seconds to come.

Change: from the beginning of one call to that of the next at most 4.4 s (LastCall::took is taken off). The first refusal spreads a fleet over the whole span, the next ones keep it as it lies (the last quarter of the span), which is as seldom as it may ask. The two kinds of pause are two functions.

--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -21,12 +21,10 @@
 constexpr milliseconds kSilence{3500};  // an empty line comes every 2 s; news counts as told 6 s late at most
 constexpr milliseconds kUntold{100};    // over which the first calls after a lost watch spread at most
 constexpr milliseconds kLeastSoon{20};  // however short a drain grace, a stream that ends at once is no spin
-// The longest pause: what discovery tells counts 6 s after it could be reached, and the call itself takes up
-// to a second for its connect.
+// From one call to the next at most: what discovery tells counts 6 s after it could be reached, refused calls
+// or not, and the next call itself takes up to a second for its connect.
 constexpr milliseconds kLongest{4400};
-// After refusals, for a fleet that can't ask within that time at its rate,
-constexpr milliseconds kLongestOfMany{40000};
-constexpr int kMostRounds = 8;  // or so many rounds of the whole fleet.
+constexpr int kMostRounds = 8;  // of the whole fleet, over which calls are spread after refusals
 
 void logNews(const listing::Listing& list) {
     (log::info() << "registry: " << (list.whole ? "whole list" : "changes"))
@@ -36,28 +34,48 @@
 
 }  // namespace
 
-milliseconds pauseBefore(const Options& options, int failures, bool refused, double chance) {
-    const milliseconds round(static_cast<std::int64_t>(1000.0 * options.senders / options.fleetRate));
-    // Danger: a discovery with more calls than it can answer answers none in time, and calls that it refuses
-    // keep it so. Many senders that each ask once a second shut each other out for good, and none hears of a
-    // drain. Only fewer calls let it recover. It may hurt where it is back early, for a part of the span.
-    const auto bound = round > kLongest ? kLongestOfMany : kLongest;
-    const auto most = std::max(std::min(options.pauseMost, kLongest),
-                               refused ? std::min(kMostRounds * round, bound) : milliseconds{});
-    auto span = std::max(options.pauseLeast, refused ? round : std::min(round, kUntold));
-    for (int i = 0; i < failures && span < most; ++i) span *= 2;
-    span = std::min(span, most);
-    auto least = options.pauseLeast;
-    if (failures == 0 && !refused) {
-        // Danger: what the machine was told counts without a watch too. The first call after a lost one goes
-        // out well within the drain grace, in a fleet of any size.
-        const auto soon = std::max(3 * options.drainGrace / 5, kLeastSoon);
-        least = std::min(least, soon / 3);
-        span = std::min(span, soon - least);
-    }
+namespace {
+
+/// `least`, and a part of the span behind it.
+milliseconds jittered(milliseconds least, milliseconds span, double chance) {
     return least + milliseconds(static_cast<std::int64_t>(chance * static_cast<double>(span.count())));
 }
 
+// Danger: what the machine was told counts without a watch too. The first call after a lost one goes out well
+// within the drain grace, in a fleet of any size.
+milliseconds pauseAfterLoss(const Options& options, milliseconds round, double chance) {
+    const auto soon = std::max(3 * options.drainGrace / 5, kLeastSoon);
+    const auto least = std::min(options.pauseLeast, soon / 3);
+    const auto span = std::max(options.pauseLeast, std::min(round, kUntold));
+    return jittered(least, std::min({span, options.pauseMost, soon - least}), chance);
+}
+
+// Danger: a discovery with more calls than it can answer answers none in time, and calls that it refuses keep
+// it so. Many senders that each ask once a second shut each other out, and none hears of a drain. So after
+// refusals they ask as seldom as they may; and no less often, as what is told counts all the same.
+milliseconds pauseAfterFailure(const Options& options, const LastCall& last, milliseconds round,
+                               double chance) {
+    const auto longest = std::max(options.pauseLeast, kLongest - last.took);
+    const auto mostRefused = last.refused ? std::min(kMostRounds * round, kLongest) : milliseconds{};
+    const auto most = std::max(std::min(options.pauseMost, kLongest), mostRefused);
+    auto span = std::max(options.pauseLeast, last.refused ? round : std::min(round, kUntold));
+    for (int i = 0; i < last.failures && span < most; ++i) span *= 2;
+    span = std::min({span, most, longest});
+    // The first pause spreads a fleet that was refused in one moment; the next ones keep it as it lies.
+    const bool spread = last.refused && last.failures > 1;
+    const auto least =
+        std::min(spread ? std::max(options.pauseLeast, span * 3 / 4) : options.pauseLeast, longest);
+    return jittered(least, std::min(spread ? span / 4 : span, longest - least), chance);
+}
+
+}  // namespace
+
+milliseconds pauseBefore(const Options& options, const LastCall& last, double chance) {
+    const milliseconds round(static_cast<std::int64_t>(1000.0 * options.senders / options.fleetRate));
+    const bool lost = last.failures == 0 && !last.refused;
+    return lost ? pauseAfterLoss(options, round, chance) : pauseAfterFailure(options, last, round, chance);
+}
+
 bool Lines::feed(std::string_view bytes, const std::function<void(const listing::Listing&)>& news,
                  const std::function<void()>& beat) {
     bool ended = false;
@@ -142,8 +160,8 @@
     thread_.join();
 }
 
-milliseconds Registry::draw(int failures, bool refused) {
-    return pauseBefore(options_, failures, refused, std::uniform_real_distribution<double>(0, 1)(chance_));
+milliseconds Registry::draw(const LastCall& last) {
+    return pauseBefore(options_, last, std::uniform_real_distribution<double>(0, 1)(chance_));
 }
 
 bool Registry::rest(milliseconds pause, const discovery::Place& place) {
@@ -168,10 +186,12 @@
         // A new address is asked without regard to what the old one refused: what it tells counts soon.
         if (place.left.stop_requested()) {
             place = discovery_.place(), failures = 0;
-            pause = draw(0, false) / 2;
+            pause = draw({}) / 2;
             continue;
         }
+        const auto begun = net::Steady::now();
         const auto watch = follow(place, stopped);
+        const auto took = std::chrono::duration_cast<milliseconds>(net::Steady::now() - begun);
         static constexpr std::array<std::string_view, 4> kEnds{"useful", "refused", "silent", "failed"};
         metrics::counter("watches_total", "end", kEnds[static_cast<std::size_t>(watch)]).add();
         roster_.lost();
@@ -179,7 +199,7 @@
         failures = watch == Watch::useful || watch == Watch::silent ? 0 : failures + 1;
         // Danger: what a silent stream misses counts as told 6 s after its last word. The silence has taken
         // most of that, so one refusal after it leaves no time to spread calls over the fleet.
-        pause = draw(failures, watch == Watch::refused && !wasSilent);
+        pause = draw({failures, watch == Watch::refused && !wasSilent, took});
         wasSilent = watch == Watch::silent;
     }
 }
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -64,13 +64,20 @@
     failed    ///< it could not be reached, or said nothing of use
 };
 
-/// How long to wait before discovery is asked, after so many failures on end, the last of them a refusal or
-/// not: some part of a span, by `chance` in [0, 1) (full jitter: M. Brooker, "Exponential Backoff And
-/// Jitter", AWS Architecture Blog, 2015). It begins short, within three fifths of the drain grace, as what
-/// discovery tells counts whether or not a watch is open, and doubles with each failure. After refusals it
-/// begins with one in which all senders ask once at `fleetRate`, since they mostly lose discovery in the same
-/// moment.
-std::chrono::milliseconds pauseBefore(const Options& options, int failures, bool refused, double chance);
+/// How the last call for the list went.
+struct LastCall {
+    int failures = 0;      ///< on end, this one counted
+    bool refused = false;  ///< it was refused, rather than not answered
+    std::chrono::milliseconds took{};
+};
+
+/// How long to wait before discovery is asked again: some part of a span, by `chance` in [0, 1) (full jitter:
+/// M. Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015). The span begins short, within
+/// three fifths of the drain grace, as what discovery tells counts whether or not a watch is open, and
+/// doubles with each failure. After refusals it begins with one in which all senders ask once at `fleetRate`,
+/// since they mostly lose discovery in the same moment. From the beginning of one call to that of the next it
+/// is never longer than news may go unheard, in a fleet of any size.
+std::chrono::milliseconds pauseBefore(const Options& options, const LastCall& last, double chance);
 
 class Registry {
   public:
@@ -85,7 +92,7 @@
     void run();
     /// False once stopped. True at the pause's end, or once discovery is elsewhere.
     bool rest(std::chrono::milliseconds pause, const discovery::Place& place);
-    std::chrono::milliseconds draw(int failures, bool refused);
+    std::chrono::milliseconds draw(const LastCall& last);
     /// One connection, until it ends.
     Watch follow(const discovery::Place& place, std::stop_token stopped);
     /// Asks for the whole list, on a connection of its own. What became of it; nothing where none came.
