Log what a restart finds and repeats, and why requests are refused or closed

Change: one info line for each found message that may have run (since when, attempts, time left), and for each of its repeats; counters found_messages_total{state}, attempts_total{kind}, refusals_total{reason} and connections_closed_total{reason}. The debug lines of calls, hand-ins and ends carry ids and words instead of numbers. What a start makes of a found message stands in a module of its own (decisions/found_messages, pure); the look-up of names that stood twice is config::position().

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -194,6 +194,11 @@
     return c;
 }
 
+int position(const std::vector<std::string>& names, std::string_view name, int otherwise) {
+    const auto it = std::find(names.begin(), names.end(), name);
+    return it == names.end() ? otherwise : static_cast<int>(it - names.begin());
+}
+
 // Clients hold at most a third of the descriptors for requests; whatever else connects needs room beside
 // them, or it would keep them out.
 Shares shares(const Config& config) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "listing/listing.hpp"
@@ -33,6 +34,9 @@
     std::string limitsText, settingsText;                     ///< as the file has them, to compare
 };
 
+/// Where the name stands among the names; `otherwise` where it does not.
+int position(const std::vector<std::string>& names, std::string_view name, int otherwise);
+
 /// Descriptors, by who may hold them at most; a few more are kept aside for the listener, the store, the
 /// watch, the notices and connections on their way out.
 struct Shares {
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -5,10 +5,10 @@
 #include <set>
 #include <string_view>
 
+#include "decisions/found_messages.hpp"
 #include "decisions/limits.hpp"
 #include "log/log.hpp"
 #include "metrics/metrics.hpp"
-#include "rules/repeat_rules.hpp"
 #include "stoathub/stoathub.hpp"
 
 namespace laurelhaven::decisions {
@@ -57,9 +57,27 @@
 
 bool failed(Ending ending) { return mayHaveRun(ending) || ending == Ending::noConnection; }
 
-int position(const std::vector<std::string>& names, const std::string& name, int otherwise) {
-    const auto it = std::find(names.begin(), names.end(), name);
-    return it == names.end() ? otherwise : static_cast<int>(it - names.begin());
+Verdict refused(std::string_view reason, milliseconds after) {
+    metrics::counter("refusals_total", "reason", reason).add();
+    log::debug() << "refused: " << reason;
+    return {Verdict::Kind::refused, after};
+}
+
+/// A line for each that may have run, as its repeats have to keep rules over several lives; the others are
+/// counted, and told at level debug.
+void logFound(const store::Taken& message, const FoundMessage& found) {
+    metrics::counter("found_messages_total", "state", name(found.state)).add();
+    const bool lost = found.state == FoundState::unknownClass;
+    auto line = lost ? log::error() : found.mayHaveRun ? log::info() : log::debug();
+    (line << "found a message of an earlier life")
+        .kv("id", message.id)
+        .kv("state", name(found.state))
+        .kv("destination", message.destination)
+        .kv("class", message.grade)
+        .kv("attempts", message.attempts)
+        .kv("failures", message.failures)
+        .kv("left_ms", found.left.count());
+    if (found.mayHaveRun) line.kv("may_have_run_ms_ago", found.sinceRan.count());
 }
 
 }  // namespace
@@ -112,18 +130,39 @@
     if (held.begun) return sendRules_.check(attempt, Steady::now()) == rules::Refusal::none;
     const auto refusal = sendRules_.begin(attempt, Steady::now());
     if (refusal != rules::Refusal::none) {
-        log::debug() << "call " << call.id << " #" << call.attempt << " to " << call.endpoint
-                     << " does not begin: " << rules::name(refusal);
+        (log::debug() << "attempt refused")
+            .kv("id", call.id)
+            .kv("call", call.attempt + 1)
+            .kv("endpoint", call.endpoint)
+            .kv("reason", rules::name(refusal));
         return false;
     }
     held.begun = store_.attempt(call.id, recordClock_.now());
     // The record may have taken its time.
-    if (held.begun && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) return true;
+    if (held.begun && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) {
+        logBegun(held, call);
+        return true;
+    }
     sendRules_.end(call.id);
     if (std::exchange(held.begun, false)) store_.unsent(call.id);
     return false;
 }
 
+/// Repeats over a restart are told at level info, as they have to keep rules over several lives.
+void Decisions::logBegun(const Held& held, const Call& call) {
+    const char* kind = held.mayHaveRunSince ? "repeat" : call.attempt > 0 ? "retry" : "first";
+    metrics::counter("attempts_total", "kind", kind).add();
+    auto line = held.found && held.mayHaveRunSince ? log::info() : log::debug();
+    (line << "attempt begins")
+        .kv("id", call.id)
+        .kv("call", call.attempt + 1)
+        .kv("kind", kind)
+        .kv("endpoint", call.endpoint)
+        .kv("destination", call.destination);
+    if (held.mayHaveRunSince)
+        line.kv("may_have_run_ms_ago", (Steady::now() - *held.mayHaveRunSince) / milliseconds(1));
+}
+
 void Decisions::sent(const Call& call, Moment firstByteAt) { sendRules_.sent(attemptOf(call), firstByteAt); }
 
 void Decisions::neverLeft(const Call& call) {
@@ -140,10 +179,14 @@
 Verdict Decisions::report(const HandIn& message) {
     const std::lock_guard lock(mutex_);
     const auto verdict = decide(message);
-    log::debug() << "handed " << message.id << " for " << message.destination << " verdict "
-                 << static_cast<int>(verdict.kind) << " after " << verdict.after.count();
     static constexpr std::array<std::string_view, 4> kKinds{"taken", "refused", "failed", "conflict"};
-    metrics::counter("messages_total", "verdict", kKinds[static_cast<std::size_t>(verdict.kind)]).add();
+    const auto kind = kKinds[static_cast<std::size_t>(verdict.kind)];
+    (log::debug() << "handed in")
+        .kv("id", message.id)
+        .kv("destination", message.destination)
+        .kv("verdict", kind)
+        .kv("after_ms", verdict.after.count());
+    metrics::counter("messages_total", "verdict", kind).add();
     if (hooks_.arrived) hooks_.arrived(message, verdict);
     return verdict;
 }
@@ -151,7 +194,7 @@
 Verdict Decisions::decide(const HandIn& message) {
     using Kind = Verdict::Kind;
     const auto now = Steady::now();
-    if (stopped_) return {Kind::refused, kFullAfter};
+    if (stopped_) return refused("stopping", kFullAfter);
     if (const auto it = held_.find(message.id); it != held_.end()) {
         // Danger: the id may come with another message, and either of the two first. Whoever is told that a
         // message was taken on must be owed that very one; what is held goes on undisturbed.
@@ -161,13 +204,13 @@
         if (!same || it->second.over) return {Kind::conflict, {}};
         return {Kind::taken, {}, true};  // the same request once more, on a new connection
     }
-    if (message.deadline <= now) return {Kind::refused, {}};
+    if (message.deadline <= now) return refused("late", {});
     // Danger: a message for no destination would be held in vain, and one entry for each number that anybody
     // makes up would stay in the tables. The list comes seconds late, so the client may try again.
     forget(now);
-    if (!destinations_.count(message.destination)) return {Kind::refused, kUnknownAfter};
+    if (!destinations_.count(message.destination)) return refused("unknown_destination", kUnknownAfter);
     if (held_.size() >= static_cast<std::size_t>(config_.settings.maxHeld))
-        return {Kind::refused, kFullAfter};
+        return refused("held_full", kFullAfter);
     store::Taken record;
     record.id = message.id;
     record.key = message.key;
@@ -185,7 +228,7 @@
         if (noRoom_) log::warning() << "no room in the store at " << held_.size() << " messages held";
         else log::info() << "room in the store again at " << held_.size() << " messages held";
     }
-    if (!stored) return {Kind::refused, kFullAfter};
+    if (!stored) return refused("store", kFullAfter);
     hold(message);
     if (destinations_[message.destination].serving == 0 && hooks_.wanted) hooks_.wanted(message.destination);
     stoathub::Handed handed;
@@ -221,6 +264,7 @@
     if (over && !held.over) store_.done(call.id);
     else if (!held.over && !unheard && (held.begun || failed(result.ending)))
         store_.outcome(call.id, mayHaveRun(result.ending), failed(result.ending));
+    if (mayHaveRun(result.ending) && !held.mayHaveRunSince) held.mayHaveRunSince = call.issued;
     held.begun = false;
     if (stopped_) {  // nothing is decided any more
         if (over || held.over) release(call.id);
@@ -273,8 +317,8 @@
             if (known == endpoints_.end()) continue;
             entry.destination = known->second.destination;
         }
-        entry.kind = position(config_.kinds, e.type, -1);
-        entry.zone = position(config_.zones, e.zone, 0);
+        entry.kind = config::position(config_.kinds, e.type, -1);
+        entry.zone = config::position(config_.zones, e.zone, 0);
         entry.weight = e.weight;
         entry.state = e.status == listing::Status::serving    ? stoathub::EndpointState::inService
                       : e.status == listing::Status::draining ? stoathub::EndpointState::draining
@@ -395,46 +439,26 @@
     const auto recordNow = recordClock_.now();
     std::size_t late = 0;
     Events events;
-    for (const auto& m : messages) {
-        const milliseconds left(m.deadline - recordNow);
-        late += left.count() <= 0;
-        log::debug() << "found " << m.id << " for " << m.destination << " attempts " << m.attempts << " out "
-                     << m.out << " failures " << m.failures << " left " << left.count();
-        // A call that was out when the process ended may have run.
-        const bool mayHaveRun = m.out || m.ranAt > 0;
-        const int grade = position(config_.classes, m.grade, -1);
-        const int tenant = position(config_.tenants, m.tenant, 0);
-        Held& held = hold({m.id, m.key, m.destination, static_cast<std::uint32_t>(grade),
-                           static_cast<std::uint32_t>(tenant), now + left, m.body});
+    for (const auto& message : messages) {
+        auto found = interpret(message, config_, recordNow, healthKnownUntil);
+        late += found.left.count() <= 0;
+        logFound(message, found);
+        Held& held =
+            hold({message.id, message.key, message.destination, static_cast<std::uint32_t>(found.grade),
+                  static_cast<std::uint32_t>(found.tenant), now + found.left, message.body});
         held.found = true;
+        if (found.mayHaveRun) held.mayHaveRunSince = now - found.sinceRan;
         // Danger: a configuration with fewer classes; the module takes no message of one that it does not
         // know, and nobody would ever end it.
-        if (grade < 0) {
-            log::error() << "a message of a class that is no more ends undelivered: " << m.id;
-            conclude(m.id, {m.id, mayHaveRun ? store::End::failed : store::End::returned, 0});
+        if (found.state == FoundState::unknownClass) {
+            conclude(message.id,
+                     {message.id, found.mayHaveRun ? store::End::failed : store::End::returned, 0});
             continue;
         }
         // Until the list names it, as for any that it named a moment ago.
-        if (destinations_[m.destination].listed == 0) unlisted_.try_emplace(m.destination, now);
-        held.attempts = static_cast<int>(m.attempts);
-        stoathub::Handed handed;
-        handed.id = m.id;
-        handed.destination = m.destination;
-        handed.grade = grade;
-        const auto effect = config_.settings.grades[static_cast<std::size_t>(grade)].effect;
-        handed.least = rules::effectOfFound(static_cast<stoathub::Effect>(std::clamp(m.effect, 0, 2)), effect,
-                                            !m.key.empty());
-        handed.grace = left;
-        stoathub::Past past;
-        past.attempts = held.attempts;
-        // Danger: a failure on record may be long ago, and the partner well since; a few of them together
-        // would make an outage of nothing, and ease the busiest partners in while the backlog waits.
-        past.failures = m.sentAt > healthKnownUntil ? static_cast<int>(m.failures) : 0;
-        past.mayHaveRun = mayHaveRun;
-        const auto ranAt = m.ranAt > 0 ? m.ranAt : m.sentAt;
-        past.sinceRan = milliseconds(mayHaveRun ? std::max<store::RecordMs>(0, recordNow - ranAt) : 0);
-        handed.past = past;
-        events.all.push_back(std::move(handed));
+        if (destinations_[message.destination].listed == 0) unlisted_.try_emplace(message.destination, now);
+        held.attempts = found.handed.past->attempts;
+        events.all.push_back(std::move(found.handed));
     }
     if (!events.all.empty()) turn(events);
     return late;
@@ -506,7 +530,7 @@
         } else if (const auto* refuse = std::get_if<stoathub::Refuse>(&action)) {
             const auto after = wholeMs(refuse->retryIn);
             if (own && refuse->id == *ownId) {
-                *own = {Verdict::Kind::refused, after.count() > 0 ? after : kFullAfter};
+                *own = refused("module", after.count() > 0 ? after : kFullAfter);
                 store_.done(refuse->id);
                 release(refuse->id);
             } else {
@@ -542,9 +566,9 @@
     const auto late = Steady::now() - it->second.in.deadline;
     if (late > kLateEnd && !it->second.found)
         violations_.count(rules::Rule::lateEnd, id, std::to_string(late / milliseconds(1)) + " ms late");
-    metrics::counter("ends_total", "state", notice.end == store::End::failed ? "failed" : "returned").add();
-    log::debug() << "returned " << id << " state " << static_cast<int>(notice.end) << " after "
-                 << notice.afterMs;
+    const char* state = notice.end == store::End::failed ? "failed" : "returned";
+    metrics::counter("ends_total", "state", state).add();
+    (log::debug() << "ended undelivered").kv("id", id).kv("state", state).kv("after_ms", notice.afterMs);
     store_.ended(notice);
     if (it->second.out) it->second.over = true;
     else release(id);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -171,6 +171,7 @@
         bool begun = false;  // and may have gone out: it is on record
         bool over = false;
         bool found = false;  // on record at the start: its time may have passed while nothing ran
+        std::optional<Moment> mayHaveRunSince;  // when the first attempt that may have run was sent
         std::stop_source cancel;
     };
     struct Group {                    // a destination
@@ -186,6 +187,7 @@
     void conclude(const std::string& id, const store::Owed& notice);
     bool holds(const Held& held, const Call& call) const;
     rules::Attempt attemptOf(const Call& call) const;
+    static void logBegun(const Held& held, const Call& call);
     void recordNoticed();
     void tellEnds(bool all);
     void forget(Moment now);
--- /dev/null
+++ b/src/decisions/found_messages.cpp
@@ -0,0 +1,63 @@
+#include "decisions/found_messages.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "rules/repeat_rules.hpp"
+
+namespace laurelhaven::decisions {
+namespace {
+
+using std::chrono::milliseconds;
+
+FoundState stateOf(const store::Taken& message, int grade, bool mayHaveRun) {
+    if (grade < 0) return FoundState::unknownClass;
+    if (mayHaveRun) return FoundState::mayHaveRun;
+    return message.attempts > 0 ? FoundState::neverRan : FoundState::untried;
+}
+
+stoathub::Past pastOf(const store::Taken& message, const FoundMessage& found,
+                      store::RecordMs healthKnownUntil) {
+    stoathub::Past past;
+    past.attempts = static_cast<int>(message.attempts);
+    // Danger: a failure on record may be long ago, and the partner well since; a few of them together would
+    // make an outage of nothing, and ease the busiest partners in while the backlog waits.
+    past.failures = message.sentAt > healthKnownUntil ? static_cast<int>(message.failures) : 0;
+    past.mayHaveRun = found.mayHaveRun;
+    past.sinceRan = found.sinceRan;
+    return past;
+}
+
+}  // namespace
+
+std::string_view name(FoundState state) {
+    static constexpr std::array<std::string_view, 4> kNames{"untried", "never_ran", "may_have_run",
+                                                            "unknown_class"};
+    return kNames[static_cast<std::size_t>(state)];
+}
+
+FoundMessage interpret(const store::Taken& message, const config::Config& config, store::RecordMs now,
+                       store::RecordMs healthKnownUntil) {
+    FoundMessage found;
+    found.grade = config::position(config.classes, message.grade, -1);
+    found.tenant = config::position(config.tenants, message.tenant, 0);
+    found.left = milliseconds(message.deadline - now);
+    // A call that was out when the process ended may have run.
+    found.mayHaveRun = message.out || message.ranAt > 0;
+    const auto ranAt = message.ranAt > 0 ? message.ranAt : message.sentAt;
+    if (found.mayHaveRun) found.sinceRan = milliseconds(std::max<store::RecordMs>(0, now - ranAt));
+    found.state = stateOf(message, found.grade, found.mayHaveRun);
+    if (found.state == FoundState::unknownClass) return found;
+    auto& handed = found.handed;
+    handed.id = message.id;
+    handed.destination = message.destination;
+    handed.grade = found.grade;
+    const auto then = static_cast<stoathub::Effect>(std::clamp(message.effect, 0, 2));
+    const auto today = config.settings.grades[static_cast<std::size_t>(found.grade)].effect;
+    handed.least = rules::effectOfFound(then, today, !message.key.empty());
+    handed.grace = found.left;
+    handed.past = pastOf(message, found, healthKnownUntil);
+    return found;
+}
+
+}  // namespace laurelhaven::decisions
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -91,11 +91,16 @@
                 const Result result = deliver(*call);
                 const auto took =
                     std::chrono::duration_cast<milliseconds>(net::Steady::now() - begun).count();
-                log::debug() << "call " << call->id << " #" << call->attempt << " to " << call->endpoint
-                             << " of " << call->destination << " ended " << static_cast<int>(result.ending)
-                             << " wait " << result.wait.count() / 1000000 << " left "
-                             << result.allowanceLeft.value_or(-1) << " limit "
-                             << result.allowedRate.value_or(-1) << " took " << took;
+                (log::debug() << "call ended")
+                    .kv("id", call->id)
+                    .kv("call", call->attempt + 1)
+                    .kv("endpoint", call->endpoint)
+                    .kv("destination", call->destination)
+                    .kv("ending", decisions::name(result.ending))
+                    .kv("wait_ms", result.wait.count() / 1000000)
+                    .kv("left", result.allowanceLeft.value_or(-1))
+                    .kv("limit", result.allowedRate.value_or(-1))
+                    .kv("took_ms", took);
                 decisions_.report(*call, result);
             }
         });
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -236,12 +236,19 @@
     return connection.shut;
 }
 
+/// The connection ends without an answer, for that reason.
+Front::Next Front::closing(std::string_view reason) {
+    metrics::counter("connections_closed_total", "reason", reason).add();
+    log::debug() << "front: closing without an answer: " << reason;
+    return Next::close;
+}
+
 /// One whole request, and nothing behind it. `came`: when it began; a first one is timed from the connect on.
 Front::Next Front::read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first) {
     using State = http::Parser::State;
     const int fd = connection.fd.get();
     const auto begun = net::Steady::now();
-    if (!net::waitReadable(fd, first ? came + kRead : begun + kIdle)) return Next::close;
+    if (!net::waitReadable(fd, first ? came + kRead : begun + kIdle)) return closing("silent");
     const auto until = (first ? came : net::Steady::now()) + kRead;
     came = net::Steady::now();
     enter(connection, Connection::Phase::reading);
@@ -251,15 +258,16 @@
         countAnswer(status);
         log::debug() << "front: " << status << ": " << std::string_view(why).substr(0, std::strlen(why) - 1);
         const auto text = http::response(status, status == 503 ? again : http::Fields{}, why, false);
-        return net::sendAll(fd, text, net::Steady::now() + kWrite) == net::Io::done ? Next::drain
-                                                                                    : Next::close;
+        const bool heard = net::sendAll(fd, text, net::Steady::now() + kWrite) == net::Io::done;
+        return heard ? Next::drain : closing("unwritten");
     };
     bool continued = false;
     while (parser.state() == State::head || parser.state() == State::body) {
         if (parser.state() == State::body && !continued &&
             parser.message().headers.lists("Expect", "100-continue")) {
             continued = true;
-            if (net::sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", until) != net::Io::done) return Next::close;
+            if (net::sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", until) != net::Io::done)
+                return closing("unwritten");
         }
         std::string bytes;
         const auto io = net::receive(fd, bytes, until);
@@ -268,7 +276,10 @@
         // answer.
         if (io == net::Io::closed && (first || parser.begun()) && toldToGo(connection))
             return refuse(503, "no room, or stopping\n");
-        if (io != net::Io::done) return Next::close;
+        if (io != net::Io::done) {
+            const bool ended = io == net::Io::closed;
+            return closing(parser.begun() ? (ended ? "half_request" : "broken_request") : "by_client");
+        }
         parser.feed(bytes);
     }
     if (parser.state() == State::bad) return refuse(parser.refusal(), "the request can't be taken\n");
@@ -278,7 +289,7 @@
         case rules::Whole::turnAway: return refuse(503, "come again\n");
         case rules::Whole::leave: break;
     }
-    return Next::close;
+    return closing("gone_before_answer");
 }
 
 Front::Next Front::answer(int fd, http::Message& request, net::Deadline came, bool stays) {
@@ -288,7 +299,7 @@
         keep = keep && !stopping_;  // asked last: a stop may have come since
         countAnswer(status);
         const auto text = http::response(status, fields, request.method == "HEAD" ? "" : body, keep);
-        if (net::sendAll(fd, text, until) != net::Io::done) return Next::close;
+        if (net::sendAll(fd, text, until) != net::Io::done) return closing("unwritten");
         return keep ? Next::request : Next::drain;
     };
     const auto asked = intake(config_, request, came);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -7,6 +7,7 @@
 #include <list>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
@@ -50,6 +51,7 @@
     void reap(std::unique_lock<std::mutex>& lock);
     void serve(Connection& connection);
     void enter(Connection& connection, Connection::Phase phase);
+    static Next closing(std::string_view reason);
     Next read(Connection& connection, http::Parser& parser, net::Deadline& came, bool first);
     void tellToGo(Connection& connection);
     bool toldToGo(const Connection& connection);
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -16,11 +16,6 @@
                        [](char c) { return c > 0x20 && c < 0x7f && c != '"' && c != '\\'; });
 }
 
-int position(const std::vector<std::string>& names, std::string_view name) {
-    const auto it = std::find(names.begin(), names.end(), name);
-    return it == names.end() ? -1 : static_cast<int>(it - names.begin());
-}
-
 }  // namespace
 
 std::variant<decisions::HandIn, Ready, Metrics, Denied> intake(const config::Config& config,
@@ -36,7 +31,8 @@
         if (get) return Metrics{};
         return Denied{405, "use GET"};
     }
-    const int grade = position(config.classes, std::string_view(path).substr(path.empty() ? 0 : 1));
+    const int grade =
+        config::position(config.classes, std::string_view(path).substr(path.empty() ? 0 : 1), -1);
     if (path.empty() || path[0] != '/' || grade < 0) return Denied{404, "no such path"};
     if (request.method != "POST") return Denied{405, "use POST"};
     const auto& headers = request.headers;
@@ -53,7 +49,7 @@
     int tenant = 0;
     if (!config.tenants.empty()) {
         const auto* owner = headers.find("Req-Owner");
-        tenant = owner ? position(config.tenants, *owner) : -1;
+        tenant = owner ? config::position(config.tenants, *owner, -1) : -1;
         if (tenant < 0) return Denied{400, "Req-Owner is missing or unknown"};
     }
     const auto* deadline = headers.find("Req-Deadline-Ms");
