--- /dev/null
+++ b/tests/decisions/attempts_over_lives_test.cpp
@@ -0,0 +1,130 @@
+// What an attempt came to is told by its own outcome alone: the facade and the journal over several lives,
+// each ended by a kill.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <optional>
+
+#include "check.hpp"
+#include "config/config.hpp"
+#include "decisions/decisions.hpp"
+#include "log/log.hpp"
+#include "store/journal.hpp"
+#include "threads/thread.hpp"
+
+namespace {
+
+using namespace laurelhaven;
+using decisions::Call;
+using decisions::Ending;
+
+constexpr std::uint64_t kDiskBytes = 3'000'000;
+
+/// One life of a sender over the records in a folder. Its end leaves them as a kill does.
+class Life {
+  public:
+    explicit Life(const std::string& folder)
+        : journal_(folder, kDiskBytes), found_(journal_.recover()), facade_(config_, journal_, {}) {
+        facade_.report(config_.known, true);
+        facade_.restore(found_.messages);
+        ticker_ = threads::Thread("tick", [this] {
+            while (facade_.tick()) {
+            }
+        });
+    }
+    ~Life() {
+        facade_.stop();
+        ticker_.join();
+    }
+    void handIn(const std::string& id) {
+        facade_.report(decisions::HandIn{id, "key", 7, 0, 0,
+                                         decisions::Steady::now() + std::chrono::seconds(20),
+                                         std::make_shared<const std::string>("body")});
+    }
+    Call next() { return *facade_.pick(); }
+    Call begin() {
+        const auto call = next();
+        EXPECT_TRUE(facade_.begin(call));
+        return call;
+    }
+    void report(const Call& call, Ending ending) {
+        decisions::Result result;
+        result.ending = ending;
+        facade_.report(call, result);
+    }
+    const std::vector<store::Taken>& found() const { return found_.messages; }
+
+  private:
+    const config::Config config_ =
+        config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1",
+                                              check::entry("a", "127.0.0.1:9", 7), check::settings()),
+                         {{"BALANCER_STATE", "/tmp"}});
+    store::Journal journal_;
+    const store::Recovered found_;
+    decisions::Decisions facade_;
+    threads::Thread ticker_;
+};
+
+/// When the first attempt that may have run was sent, as a later life takes it; nothing where none has.
+std::optional<store::RecordMs> mayHaveRunSince(const store::Taken& found) {
+    if (found.ranAt > 0) return found.ranAt;
+    if (found.out) return found.sentAt;
+    return {};
+}
+
+class AttemptsOverLives : public testing::Test {
+  protected:
+    AttemptsOverLives() { log::setLevel(log::Level::off); }
+    std::string journalPath() const { return folder_.path + "/messages.log"; }
+    std::streamoff journalBytes() const {
+        return static_cast<std::streamoff>(std::filesystem::file_size(journalPath()));
+    }
+    void damage(std::streamoff from, std::streamoff to) const {
+        std::fstream file(journalPath(), std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(from);
+        file << std::string(static_cast<std::size_t>(to - from), '#');
+    }
+    const check::Folder folder_;
+};
+
+// A call whose connect fails has made no attempt: its end says nothing of the one that was open at the kill.
+TEST_F(AttemptsOverLives, AFailedConnectLeavesTheEarlierAttemptInDoubt) {
+    {
+        Life first(folder_.path);
+        first.handIn("m");
+        first.begin();
+    }
+    std::optional<store::RecordMs> sentAt;
+    {
+        Life second(folder_.path);
+        ASSERT_EQ(second.found().size(), 1u);
+        sentAt = mayHaveRunSince(second.found()[0]);
+        ASSERT_TRUE(sentAt.has_value());
+        second.report(second.next(), Ending::noConnection);
+    }
+    const Life third(folder_.path);
+    ASSERT_EQ(third.found().size(), 1u);
+    EXPECT_EQ(mayHaveRunSince(third.found()[0]), sentAt);
+}
+
+// Damage hides the outcome of the first attempt and the record of the second. The second's outcome follows,
+// and is not the first's.
+TEST_F(AttemptsOverLives, AnOutcomeBehindDamageIsNotAnotherAttempts) {
+    {
+        Life first(folder_.path);
+        first.handIn("m");
+        const auto call = first.begin();
+        const auto from = journalBytes();
+        first.report(call, Ending::error);
+        const auto repeat = first.begin();
+        const auto to = journalBytes();
+        first.report(repeat, Ending::turnedAway);
+        damage(from, to);
+    }
+    const Life second(folder_.path);
+    ASSERT_EQ(second.found().size(), 1u);
+    EXPECT_TRUE(mayHaveRunSince(second.found()[0]).has_value());
+}
+
+}  // namespace
