Settle each attempt by its own outcome alone, over all lives of a message

Decisions::report() recorded an outcome also for a call whose connect had failed, which had made no attempt. In a second life that cleared 'out' of the attempt that was open at the first kill: the third life found a message that surely never ran.

Class: what is known of one attempt is changed by an event that is not that attempt's. As a rule: an outcome or an end is recorded only for the very attempt or message that it is of (Rule::ownOutcome).

Change: AttemptHistory (src/store, pure) is the one place that knows a message's attempts: each has a number, settle() and neverLeft() change only the open attempt of that number, and that a message may have run is never taken back. The store's calls take the number and return false for what belongs to nothing open; the facade counts that as rule_violations_total{rule=own_outcome} and logs it. A failed connect has a record of its own, with its time. The same mistake elsewhere, mended with it: - an outcome behind damaged records settled the attempt before it; - failures were dated by the last attempt's time, though a failed connect belongs to none (found_messages, healthKnownUntil); - word that the platform knows an end, or a second end, struck out whatever stood under the id, a message still owed included. Records of earlier versions are read. Their failed connects look like an attempt that surely did not run, so where an attempt was open then it counts as one that may have run.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -74,8 +74,8 @@
         .kv("state", name(found.state))
         .kv("destination", message.destination)
         .kv("class", message.grade)
-        .kv("attempts", message.attempts)
-        .kv("failures", message.failures)
+        .kv("attempts", message.attempts.made())
+        .kv("failures", message.attempts.failures())
         .kv("left_ms", found.left.count());
     if (found.mayHaveRun) line.kv("may_have_run_ms_ago", found.sinceRan.count());
 }
@@ -127,7 +127,7 @@
     if (it == held_.end() || !holds(it->second, call)) return false;
     Held& held = it->second;
     const auto attempt = attemptOf(call);
-    if (held.begun) return sendRules_.check(attempt, Steady::now()) == rules::Refusal::none;
+    if (held.attempt) return sendRules_.check(attempt, Steady::now()) == rules::Refusal::none;
     const auto refusal = sendRules_.begin(attempt, Steady::now());
     if (refusal != rules::Refusal::none) {
         (log::debug() << "attempt refused")
@@ -137,14 +137,13 @@
             .kv("reason", rules::name(refusal));
         return false;
     }
-    held.begun = store_.attempt(call.id, recordClock_.now());
+    held.attempt = store_.beginAttempt(call.id, recordClock_.now());
     // The record may have taken its time.
-    if (held.begun && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) {
+    if (held.attempt && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) {
         logBegun(held, call);
         return true;
     }
-    sendRules_.end(call.id);
-    if (std::exchange(held.begun, false)) store_.unsent(call.id);
+    recordNeverLeft(held, call.id);
     return false;
 }
 
@@ -168,10 +167,39 @@
 void Decisions::neverLeft(const Call& call) {
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(call.id);
-    if (it == held_.end() || !it->second.begun || it->second.attempts != call.attempt + 1) return;
-    it->second.begun = false;
-    sendRules_.end(call.id);
-    if (!it->second.over) store_.unsent(call.id);
+    if (it == held_.end() || !it->second.attempt || it->second.attempts != call.attempt + 1) return;
+    recordNeverLeft(it->second, call.id);
+}
+
+// ---- the record ----
+
+// Danger: what is recorded of one attempt must not settle another. An attempt of an earlier life has no
+// outcome and never gets one; a call of this life whose connect failed has made no attempt. Taken for the
+// outcome of the earlier one, its failure would make a message that may have run one that never did, and the
+// next life would repeat it outside its key's window. So each record names its attempt, and one that names
+// none that is open is passed over and counted.
+void Decisions::recordOutcome(Held& held, const Call& call, const Result& result) {
+    const store::AttemptOutcome outcome{mayHaveRun(result.ending), failed(result.ending)};
+    const auto attempt = std::exchange(held.attempt, std::nullopt);
+    if (attempt) {
+        if (!store_.settle(call.id, *attempt, outcome))
+            violations_.count(rules::Rule::ownOutcome, call.id, "an outcome of an attempt that is not open");
+        return;
+    }
+    if (outcome.mayHaveRun) violations_.count(rules::Rule::record, call.id, "ran, and not on record");
+    if (outcome.failed && !store_.failWithoutAttempt(call.id, recordClock_.now()))
+        violations_.count(rules::Rule::ownOutcome, call.id, "a failure of a message that is over");
+}
+
+void Decisions::recordNeverLeft(Held& held, const std::string& id) {
+    sendRules_.end(id);
+    const auto attempt = std::exchange(held.attempt, std::nullopt);
+    if (attempt && !held.over && !store_.neverLeft(id, *attempt))
+        violations_.count(rules::Rule::ownOutcome, id, "an attempt that never left and is not open");
+}
+
+void Decisions::recordDone(const std::string& id) {
+    if (!store_.done(id)) violations_.count(rules::Rule::ownOutcome, id, "done, and not owed");
 }
 
 // ---- report ----
@@ -261,11 +289,10 @@
     // was delivered, and give up for nothing what surely never ran. What the stop itself called off has no
     // outcome.
     const bool unheard = stopped_ && result.ending == Ending::cancelled;
-    if (over && !held.over) store_.done(call.id);
-    else if (!held.over && !unheard && (held.begun || failed(result.ending)))
-        store_.outcome(call.id, mayHaveRun(result.ending), failed(result.ending));
+    if (over && !held.over) recordDone(call.id);
+    else if (!held.over && !unheard) recordOutcome(held, call, result);
     if (mayHaveRun(result.ending) && !held.mayHaveRunSince) held.mayHaveRunSince = call.issued;
-    held.begun = false;
+    held.attempt.reset();
     if (stopped_) {  // nothing is decided any more
         if (over || held.over) release(call.id);
         return;
@@ -420,14 +447,16 @@
         const std::lock_guard lock(noticedMutex_);
         noticed.swap(noticed_);
     }
-    for (const auto& id : noticed) store_.noticed(id);
+    for (const auto& id : noticed)
+        if (!store_.noticed(id))
+            violations_.count(rules::Rule::ownOutcome, id, "its end is known, and it has not ended");
 }
 
 void Decisions::withdraw(const std::string& id) {
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(id);
     if (stopped_ || it == held_.end() || it->second.over) return;
-    store_.done(id);
+    recordDone(id);
     it->second.over = true;
     if (!it->second.out) release(id);
     turn({{stoathub::ClientGone{id}}});
@@ -531,7 +560,7 @@
             const auto after = wholeMs(refuse->retryIn);
             if (own && refuse->id == *ownId) {
                 *own = refused("module", after.count() > 0 ? after : kFullAfter);
-                store_.done(refuse->id);
+                recordDone(refuse->id);
                 release(refuse->id);
             } else {
                 conclude(refuse->id, {refuse->id, store::End::returned, after.count()});
@@ -539,7 +568,7 @@
         } else if (const auto* fail = std::get_if<stoathub::Fail>(&action)) {
             if (own && fail->id == *ownId) {
                 *own = {Verdict::Kind::failed, {}};
-                store_.done(fail->id);
+                recordDone(fail->id);
                 release(fail->id);
             } else {
                 conclude(fail->id, {fail->id, store::End::failed, 0});
@@ -569,7 +598,7 @@
     const char* state = notice.end == store::End::failed ? "failed" : "returned";
     metrics::counter("ends_total", "state", state).add();
     (log::debug() << "ended undelivered").kv("id", id).kv("state", state).kv("after_ms", notice.afterMs);
-    store_.ended(notice);
+    if (!store_.ended(notice)) violations_.count(rules::Rule::ownOutcome, id, "an end of what is not owed");
     if (it->second.out) it->second.over = true;
     else release(id);
     untold_.push_back({notice, Steady::now() + kTellUnrecorded});
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -166,9 +166,10 @@
   private:
     struct Held {
         HandIn in;
-        int attempts = 0;    // as the module counts them
-        bool out = false;    // an attempt is with a worker
-        bool begun = false;  // and may have gone out: it is on record
+        int attempts = 0;  // as the module counts them
+        bool out = false;  // a call is with a worker
+        std::optional<store::AttemptNumber>
+            attempt;  // that has begun: it is on record, and may have gone out
         bool over = false;
         bool found = false;  // on record at the start: its time may have passed while nothing ran
         std::optional<Moment> mayHaveRunSince;  // when the first attempt that may have run was sent
@@ -188,6 +189,9 @@
     bool holds(const Held& held, const Call& call) const;
     rules::Attempt attemptOf(const Call& call) const;
     static void logBegun(const Held& held, const Call& call);
+    void recordOutcome(Held& held, const Call& call, const Result& result);
+    void recordNeverLeft(Held& held, const std::string& id);
+    void recordDone(const std::string& id);
     void recordNoticed();
     void tellEnds(bool all);
     void forget(Moment now);
--- a/src/decisions/found_messages.cpp
+++ b/src/decisions/found_messages.cpp
@@ -13,16 +13,17 @@
 FoundState stateOf(const store::Taken& message, int grade, bool mayHaveRun) {
     if (grade < 0) return FoundState::unknownClass;
     if (mayHaveRun) return FoundState::mayHaveRun;
-    return message.attempts > 0 ? FoundState::neverRan : FoundState::untried;
+    return message.attempts.made() > 0 ? FoundState::neverRan : FoundState::untried;
 }
 
 stoathub::Past pastOf(const store::Taken& message, const FoundMessage& found,
                       store::RecordMs healthKnownUntil) {
     stoathub::Past past;
-    past.attempts = static_cast<int>(message.attempts);
+    past.attempts = static_cast<int>(message.attempts.made());
     // Danger: a failure on record may be long ago, and the partner well since; a few of them together would
     // make an outage of nothing, and ease the busiest partners in while the backlog waits.
-    past.failures = message.sentAt > healthKnownUntil ? static_cast<int>(message.failures) : 0;
+    const bool unknownYet = message.attempts.lastFailureAt() > healthKnownUntil;
+    past.failures = unknownYet ? static_cast<int>(message.attempts.failures()) : 0;
     past.mayHaveRun = found.mayHaveRun;
     past.sinceRan = found.sinceRan;
     return past;
@@ -42,10 +43,9 @@
     found.grade = config::position(config.classes, message.grade, -1);
     found.tenant = config::position(config.tenants, message.tenant, 0);
     found.left = milliseconds(message.deadline - now);
-    // A call that was out when the process ended may have run.
-    found.mayHaveRun = message.out || message.ranAt > 0;
-    const auto ranAt = message.ranAt > 0 ? message.ranAt : message.sentAt;
-    if (found.mayHaveRun) found.sinceRan = milliseconds(std::max<store::RecordMs>(0, now - ranAt));
+    const auto since = message.attempts.mayHaveRunSince();
+    found.mayHaveRun = since.has_value();
+    if (since) found.sinceRan = milliseconds(std::max<store::RecordMs>(0, now - *since));
     found.state = stateOf(message, found.grade, found.mayHaveRun);
     if (found.state == FoundState::unknownClass) return found;
     auto& handed = found.handed;
--- a/src/rules/violations.cpp
+++ b/src/rules/violations.cpp
@@ -8,9 +8,9 @@
 namespace laurelhaven::rules {
 
 std::string_view name(Rule rule) {
-    constexpr std::array<std::string_view, kRules> kNames{"drain",      "wait",         "overlap",
-                                                          "attempts",   "record",       "deadline",
-                                                          "key_window", "final_answer", "late_end"};
+    constexpr std::array<std::string_view, kRules> kNames{
+        "drain",    "wait",       "overlap",      "attempts", "record",
+        "deadline", "key_window", "final_answer", "late_end", "own_outcome"};
     return kNames[static_cast<std::size_t>(rule)];
 }
 
--- a/src/rules/violations.hpp
+++ b/src/rules/violations.hpp
@@ -20,9 +20,10 @@
     deadline,     ///< no call begins after its message's deadline
     keyWindow,    ///< no repeat outside its key's window
     finalAnswer,  ///< one end for each message that was taken on
-    lateEnd       ///< and that in time
+    lateEnd,      ///< and that in time
+    ownOutcome    ///< an outcome or an end is recorded only for the very attempt or message that it is of
 };
-constexpr std::size_t kRules = 9;
+constexpr std::size_t kRules = 10;
 std::string_view name(Rule rule);
 
 /// Counts violations. Safe for use by several threads.
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -13,7 +13,6 @@
 
 #include "log/log.hpp"
 #include "metrics/metrics.hpp"
-#include "store/frame.hpp"
 
 namespace laurelhaven::store {
 namespace {
@@ -25,7 +24,6 @@
 constexpr std::uint64_t kMargin = 8 * kBlock;  // two files, and what the folder may count besides
 // Kept back for each live message, so that its attempts and its end always find room.
 constexpr std::uint64_t kReserve = 256;
-constexpr RecordMs kLongAgo = 1;
 constexpr std::uint64_t kStale = 256 * 1024;  // records of what is over, beyond which a fresh file is written
 constexpr std::chrono::milliseconds kCompactPause{200};  // after a compaction that failed
 // At a start what is owed must be read: a failing folder is asked again for so long, in such steps.
@@ -33,14 +31,20 @@
 constexpr std::chrono::milliseconds kRetryPause{20};
 
 enum Type : char {
-    kTakeByPosition = 'T',  // read only
-    kTake = 'M',
-    kAttempt = 'A',
-    kUnsent = 'U',
-    kOutcome = 'O',
+    kTake = 'K',
+    kBegin = 'B',
+    kNeverLeft = 'L',
+    kSettled = 'S',
+    kFailed = 'F',
     kDone = 'D',
     kEnded = 'E',
-    kNoticed = 'N'
+    kNoticed = 'N',
+    // Of earlier versions, read only: classes by position, and attempts without numbers.
+    kTakeByPosition = 'T',
+    kTakeWithoutNumbers = 'M',
+    kBeginWithoutNumber = 'A',
+    kNeverLeftWithoutNumber = 'U',
+    kSettledWithoutNumber = 'O'
 };
 
 /// Repeats a step of the start until it succeeds. Throws std::system_error where it fails for too long: a
@@ -107,6 +111,8 @@
     if (!cutTornTail()) log::error() << "journal: can't cut the torn tail yet: " << std::strerror(errno);
     // What the positions mean holds for this configuration: by the next start they must be names.
     if (firstForm_) compact();
+    // What was open when the earlier life ended has no outcome any more, and may have run.
+    for (auto& live : order_) live.message.attempts.endLife();
     Recovered found;
     for (const auto& live : order_) {
         if (live.over) found.notices.push_back(live.notice);
@@ -118,8 +124,7 @@
 // Danger: what can't be read may have been an attempt. A message that was alive then may have run, nobody
 // knows when; sent again it might take effect twice.
 void Journal::doubt() {
-    for (auto& live : order_)
-        if (!live.over && !live.message.out && live.message.ranAt == 0) live.message.ranAt = kLongAgo;
+    for (auto& live : order_) live.message.attempts.doubt();
 }
 
 std::string Journal::record(const Live& live) {
@@ -130,6 +135,7 @@
             .number(live.notice.afterMs)
             .take();
     const Taken& m = live.message;
+    const auto& attempts = m.attempts.state();
     return Writer(kTake)
         .text(m.id)
         .text(m.key)
@@ -138,11 +144,13 @@
         .text(m.tenant)
         .number(m.effect)
         .number(m.deadline)
-        .number(m.attempts)
-        .number(m.failures)
-        .number(m.out)
-        .number(m.ranAt)
-        .number(m.sentAt)
+        .number(attempts.made)
+        .number(attempts.failures)
+        .number(attempts.last)
+        .number(attempts.open)
+        .number(attempts.sentAt)
+        .number(attempts.failedAt)
+        .number(attempts.mayHaveRunSince)
         .text(*m.body)
         .take();
 }
@@ -169,92 +177,154 @@
     live_.erase(it);
 }
 
+namespace {
+
+AttemptHistory::State readAttempts(Reader& in) {
+    AttemptHistory::State attempts;
+    attempts.made = in.number<std::uint32_t>();
+    attempts.failures = in.number<std::uint32_t>();
+    attempts.last = in.number<AttemptNumber>();
+    attempts.open = in.number<AttemptNumber>();
+    attempts.sentAt = in.number<RecordMs>();
+    attempts.failedAt = in.number<RecordMs>();
+    attempts.mayHaveRunSince = in.number<RecordMs>();
+    return attempts;
+}
+
+/// As an earlier version wrote it: whether an attempt is open, and no number of it.
+AttemptHistory::State readAttemptsWithoutNumbers(Reader& in) {
+    AttemptHistory::State attempts;
+    attempts.made = attempts.last = in.number<std::uint32_t>();
+    attempts.failures = in.number<std::uint32_t>();
+    const bool open = in.number<int>() != 0;
+    attempts.mayHaveRunSince = in.number<RecordMs>();
+    attempts.sentAt = attempts.failedAt = in.number<RecordMs>();
+    if (open) attempts.open = attempts.last;
+    return attempts;
+}
+
+}  // namespace
+
 /// Brings what is alive up to a record, written just now or read back.
 void Journal::apply(std::string_view payload) {
+    const char type = payload[0];
     Reader in(payload.substr(1));
-    Live live;
-    switch (payload[0]) {
-        case kTakeByPosition:
-        case kTake: {
-            Taken& m = live.message;
-            m.id = in.text();
-            m.key = in.text();
-            m.destination = in.number<std::uint64_t>();
-            if (payload[0] == kTake) {
-                m.grade = in.text();
-                m.tenant = in.text();
-                m.effect = in.number<int>();
-            } else {
-                const auto grade = in.number<std::uint64_t>();
-                m.grade = at(positions_.grades, grade);
-                m.effect = at(positions_.effects, grade);
-                m.tenant = at(positions_.tenants, in.number<std::uint64_t>());
-                firstForm_ = true;
-            }
-            m.deadline = in.number<RecordMs>();
-            m.attempts = in.number<std::uint32_t>();
-            m.failures = in.number<std::uint32_t>();
-            m.out = in.number<int>() != 0;
-            m.ranAt = in.number<RecordMs>();
-            m.sentAt = in.number<RecordMs>();
-            m.body = std::make_shared<const std::string>(in.text());
-            if (in.whole()) return remember(std::move(live));
-            break;
-        }
-        case kAttempt: {
-            const auto id = in.text();
-            const auto sentAt = in.number<RecordMs>();
-            if (!in.whole()) break;
-            if (const auto it = live_.find(id); it != live_.end()) {
-                Taken& m = it->second->message;
-                ++m.attempts;
-                // Danger: the attempt before this one was out when an earlier life ended, and has no outcome.
-                // That this one is turned away does not undo it; forgotten, a third life would take the
-                // message for one that never ran, and repeat it outside its key's window.
-                if (m.out && m.ranAt == 0) m.ranAt = m.sentAt;
-                m.out = true;
-                m.sentAt = sentAt;
-            }
-            return;
-        }
-        case kUnsent: {
-            const auto id = in.text();
-            if (!in.whole()) break;
-            if (const auto it = live_.find(id); it != live_.end() && it->second->message.attempts > 0) {
-                --it->second->message.attempts;
-                it->second->message.out = false;
-            }
-            return;
-        }
-        case kOutcome: {
-            const auto id = in.text();
-            const bool ran = in.number<int>() != 0;
-            const bool failed = in.number<int>() != 0;
-            if (!in.whole()) break;
-            if (const auto it = live_.find(id); it != live_.end()) {
-                Taken& m = it->second->message;
-                if (failed) ++m.failures;
-                m.out = false;
-                if (ran && m.ranAt == 0) m.ranAt = m.sentAt;
-            }
-            return;
-        }
-        case kEnded:
-            live.over = true;
-            live.notice.id = in.text();
-            live.notice.end = in.number<int>() == 0 ? End::failed : End::returned;
-            live.notice.afterMs = in.number<std::int64_t>();
-            if (in.whole()) return remember(std::move(live));
-            break;
+    bool known = false;
+    switch (type) {
+        case kTake:
+        case kTakeWithoutNumbers:
+        case kTakeByPosition: known = applyTake(type, in); break;
+        case kBegin:
+        case kNeverLeft:
+        case kSettled:
+        case kFailed: known = applyAttempt(type, in); break;
+        case kBeginWithoutNumber:
+        case kNeverLeftWithoutNumber:
+        case kSettledWithoutNumber: known = applyAttemptWithoutNumber(type, in); break;
         case kDone:
-        case kNoticed: {
-            const auto id = in.text();
-            if (in.whole()) return forget(id);
-            break;
-        }
+        case kEnded:
+        case kNoticed: known = applyEnd(type, in); break;
         default: break;
     }
-    log::error() << "journal: skipped a record of no known form";
+    if (!known) log::error() << "journal: skipped a record of no known form";
+}
+
+bool Journal::applyTake(char type, Reader& in) {
+    Live live;
+    Taken& m = live.message;
+    m.id = in.text();
+    m.key = in.text();
+    m.destination = in.number<std::uint64_t>();
+    if (type == kTakeByPosition) {
+        const auto grade = in.number<std::uint64_t>();
+        m.grade = at(positions_.grades, grade);
+        m.effect = at(positions_.effects, grade);
+        m.tenant = at(positions_.tenants, in.number<std::uint64_t>());
+        firstForm_ = true;
+    } else {
+        m.grade = in.text();
+        m.tenant = in.text();
+        m.effect = in.number<int>();
+    }
+    m.deadline = in.number<RecordMs>();
+    m.attempts = AttemptHistory(type == kTake ? readAttempts(in) : readAttemptsWithoutNumbers(in));
+    m.body = std::make_shared<const std::string>(in.text());
+    if (in.whole()) remember(std::move(live));
+    return in.whole();
+}
+
+bool Journal::applyAttempt(char type, Reader& in) {
+    const auto id = in.text();
+    const auto number = type == kFailed ? AttemptNumber{} : in.number<AttemptNumber>();
+    const auto when = type == kBegin || type == kFailed ? in.number<RecordMs>() : RecordMs{};
+    AttemptOutcome outcome;
+    if (type == kSettled) {
+        outcome.mayHaveRun = in.number<int>() != 0;
+        outcome.failed = in.number<int>() != 0;
+    }
+    if (!in.whole()) return false;
+    Taken* found = message(id);
+    if (!found) return true;
+    auto& attempts = found->attempts;
+    switch (type) {
+        case kBegin: attempts.begin(number, when); break;
+        case kNeverLeft: attempts.neverLeft(number); break;
+        case kSettled: attempts.settle(number, outcome); break;
+        default: attempts.failWithoutAttempt(when);
+    }
+    return true;
+}
+
+/// Danger: an earlier version wrote the failure of a connect, which had made no attempt, like the outcome of
+/// one that surely did not run. Where an attempt was open then, it may be either; so it may have run.
+bool Journal::applyAttemptWithoutNumber(char type, Reader& in) {
+    const auto id = in.text();
+    const auto when = type == kBeginWithoutNumber ? in.number<RecordMs>() : RecordMs{};
+    AttemptOutcome outcome;
+    if (type == kSettledWithoutNumber) {
+        outcome.mayHaveRun = in.number<int>() != 0;
+        outcome.failed = in.number<int>() != 0;
+    }
+    if (!in.whole()) return false;
+    Taken* found = message(id);
+    if (!found) return true;
+    auto& attempts = found->attempts;
+    const auto open = attempts.open();
+    if (type == kBeginWithoutNumber) {
+        attempts.begin(attempts.next(), when);
+    } else if (type == kNeverLeftWithoutNumber) {
+        if (open) attempts.neverLeft(*open);
+    } else if (open) {
+        outcome.mayHaveRun = outcome.mayHaveRun || outcome.failed;
+        attempts.settle(*open, outcome);
+    } else if (outcome.failed) {
+        attempts.failWithoutAttempt(attempts.state().sentAt);
+    }
+    return true;
+}
+
+bool Journal::applyEnd(char type, Reader& in) {
+    Live live;
+    live.over = true;
+    live.notice.id = in.text();
+    if (type == kEnded) {
+        live.notice.end = in.number<int>() == 0 ? End::failed : End::returned;
+        live.notice.afterMs = in.number<std::int64_t>();
+    }
+    if (!in.whole()) return false;
+    if (type == kEnded) remember(std::move(live));
+    else forget(live.notice.id);
+    return true;
+}
+
+Taken* Journal::message(const std::string& id) {
+    const auto it = live_.find(id);
+    return it == live_.end() || it->second->over ? nullptr : &it->second->message;
+}
+
+bool Journal::isOpen(const std::string& id, AttemptNumber attempt) {
+    const Taken* found = message(id);
+    return found && found->attempts.open() == attempt;
 }
 
 /// A record that asks for something: false, and nothing has changed, where it can't be written now.
@@ -378,20 +448,51 @@
     return append(payload);
 }
 
-bool Journal::attempt(const std::string& id, RecordMs at) {
-    return append(Writer(kAttempt).text(id).number(at).take());
+std::optional<AttemptNumber> Journal::beginAttempt(const std::string& id, RecordMs at) {
+    const Taken* found = message(id);
+    if (!found) return {};
+    const auto number = found->attempts.next();
+    if (!append(Writer(kBegin).text(id).number(number).number(at).take())) return {};
+    return number;
+}
+
+bool Journal::neverLeft(const std::string& id, AttemptNumber attempt) {
+    if (!isOpen(id, attempt)) return false;
+    tell(Writer(kNeverLeft).text(id).number(attempt).take());
+    return true;
+}
+
+bool Journal::settle(const std::string& id, AttemptNumber attempt, AttemptOutcome outcome) {
+    if (!isOpen(id, attempt)) return false;
+    tell(Writer(kSettled).text(id).number(attempt).number(outcome.mayHaveRun).number(outcome.failed).take());
+    return true;
 }
-void Journal::unsent(const std::string& id) { tell(Writer(kUnsent).text(id).take()); }
-void Journal::outcome(const std::string& id, bool mayHaveRun, bool failed) {
-    tell(Writer(kOutcome).text(id).number(mayHaveRun).number(failed).take());
+
+bool Journal::failWithoutAttempt(const std::string& id, RecordMs at) {
+    if (!message(id)) return false;
+    tell(Writer(kFailed).text(id).number(at).take());
+    return true;
 }
-void Journal::done(const std::string& id) { tell(Writer(kDone).text(id).take()); }
-void Journal::ended(const Owed& notice) {
+
+bool Journal::done(const std::string& id) {
+    if (!message(id)) return false;
+    tell(Writer(kDone).text(id).take());
+    return true;
+}
+
+bool Journal::ended(const Owed& notice) {
+    if (!message(notice.id)) return false;
     Live live;
     live.over = true;
     live.notice = notice;
     tell(record(live));
+    return true;
+}
+
+bool Journal::noticed(const std::string& id) {
+    if (message(id)) return false;  // it has not ended
+    if (live_.count(id)) tell(Writer(kNoticed).text(id).take());
+    return true;
 }
-void Journal::noticed(const std::string& id) { tell(Writer(kNoticed).text(id).take()); }
 
 }  // namespace laurelhaven::store
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -11,12 +11,14 @@
 #include <chrono>
 #include <deque>
 #include <list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "net/socket.hpp"
+#include "store/frame.hpp"
 #include "store/store.hpp"
 
 namespace laurelhaven::store {
@@ -34,12 +36,13 @@
 
     Recovered recover() override;
     bool take(const Taken& message) override;
-    bool attempt(const std::string& id, RecordMs at) override;
-    void unsent(const std::string& id) override;
-    void outcome(const std::string& id, bool mayHaveRun, bool failed) override;
-    void done(const std::string& id) override;
-    void ended(const Owed& notice) override;
-    void noticed(const std::string& id) override;
+    std::optional<AttemptNumber> beginAttempt(const std::string& id, RecordMs at) override;
+    bool neverLeft(const std::string& id, AttemptNumber attempt) override;
+    bool settle(const std::string& id, AttemptNumber attempt, AttemptOutcome outcome) override;
+    bool failWithoutAttempt(const std::string& id, RecordMs at) override;
+    bool done(const std::string& id) override;
+    bool ended(const Owed& notice) override;
+    bool noticed(const std::string& id) override;
     bool behind() const override { return !unwritten_.empty(); }
     bool flush() override;
 
@@ -64,6 +67,13 @@
     bool compact();
     void noteFailure(const char* what);
     void apply(std::string_view payload);
+    bool applyTake(char type, Reader& in);
+    bool applyAttempt(char type, Reader& in);
+    bool applyAttemptWithoutNumber(char type, Reader& in);
+    bool applyEnd(char type, Reader& in);
+    /// The message of that id that is not over; null where there is none.
+    Taken* message(const std::string& id);
+    bool isOpen(const std::string& id, AttemptNumber attempt);
     void remember(Live live);
     void forget(const std::string& id);
     void doubt();
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -4,12 +4,13 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace laurelhaven::store {
+#include "store/attempt_history.hpp"
 
-using RecordMs = std::int64_t;  ///< milliseconds on the time line of src/clock: it spans restarts
+namespace laurelhaven::store {
 
 /// A message as it was taken on, with what its attempts have come to.
 struct Taken {
@@ -20,11 +21,7 @@
     int effect = 0;  ///< of its class when it was taken: 0 may be repeated, 1 by its key, 2 may not
     RecordMs deadline = 0;
     std::shared_ptr<const std::string> body;
-    std::uint32_t attempts = 0;
-    std::uint32_t failures = 0;  ///< attempts known to have failed, not merely been turned away
-    bool out = false;            ///< an attempt has no outcome on record: it may have run
-    RecordMs ranAt = 0;          ///< when the first attempt that may have run was sent; 0: none has
-    RecordMs sentAt = 0;         ///< when the last one was
+    AttemptHistory attempts;
 };
 
 enum class End { failed, returned };
@@ -42,9 +39,10 @@
 
 /// Calls are made by one thread at a time.
 ///
-/// take() and attempt() ask for something to be done, and are refused while the record can't be written.
-/// The others tell what has happened already: they can't be refused, and a store that can't write them
-/// keeps them, in order, until it can.
+/// take() and beginAttempt() ask for something to be done, and are refused while the record can't be written.
+/// The others tell what has happened already: they can't be refused, and a store that can't write them keeps
+/// them, in order, until it can. What they tell belongs to one attempt, or to one message in one state. Where
+/// there is no such thing they change nothing and return false: that is a fault of whoever tells.
 class Store {
   public:
     virtual ~Store() = default;
@@ -52,16 +50,19 @@
     virtual Recovered recover() = 0;
     /// False: there is no room for it, or it could not be written; then it is not on record.
     virtual bool take(const Taken& message) = 0;
-    /// Before the first byte of a call. False: it could not be written, so the call must not go out.
-    virtual bool attempt(const std::string& id, RecordMs at) = 0;
-    /// The attempt on record never left, and its call goes on: it was none.
-    virtual void unsent(const std::string& id) = 0;
-    virtual void outcome(const std::string& id, bool mayHaveRun, bool failed) = 0;
+    /// Before the first byte of a call. Nothing: it could not be written, so the call must not go out.
+    virtual std::optional<AttemptNumber> beginAttempt(const std::string& id, RecordMs at) = 0;
+    /// The attempt never left, and its call goes on: it was none.
+    virtual bool neverLeft(const std::string& id, AttemptNumber attempt) = 0;
+    virtual bool settle(const std::string& id, AttemptNumber attempt, AttemptOutcome outcome) = 0;
+    /// A call failed before it made an attempt.
+    virtual bool failWithoutAttempt(const std::string& id, RecordMs at) = 0;
     /// Delivered, over, or refused in its own turn: nothing more is owed.
-    virtual void done(const std::string& id) = 0;
+    virtual bool done(const std::string& id) = 0;
     /// Ended undelivered; owed until `noticed`.
-    virtual void ended(const Owed& notice) = 0;
-    virtual void noticed(const std::string& id) = 0;
+    virtual bool ended(const Owed& notice) = 0;
+    /// The platform knows its end. Told twice, the second time changes nothing, and is no fault.
+    virtual bool noticed(const std::string& id) = 0;
     /// True while something that has happened could not be written yet.
     virtual bool behind() const { return false; }
     /// Tries again to write that. True when nothing is left to write.
--- a/tests/decisions/attempts_over_lives_test.cpp
+++ b/tests/decisions/attempts_over_lives_test.cpp
@@ -66,13 +66,6 @@
     threads::Thread ticker_;
 };
 
-/// When the first attempt that may have run was sent, as a later life takes it; nothing where none has.
-std::optional<store::RecordMs> mayHaveRunSince(const store::Taken& found) {
-    if (found.ranAt > 0) return found.ranAt;
-    if (found.out) return found.sentAt;
-    return {};
-}
-
 class AttemptsOverLives : public testing::Test {
   protected:
     AttemptsOverLives() { log::setLevel(log::Level::off); }
@@ -99,13 +92,13 @@
     {
         Life second(folder_.path);
         ASSERT_EQ(second.found().size(), 1u);
-        sentAt = mayHaveRunSince(second.found()[0]);
+        sentAt = second.found()[0].attempts.mayHaveRunSince();
         ASSERT_TRUE(sentAt.has_value());
         second.report(second.next(), Ending::noConnection);
     }
     const Life third(folder_.path);
     ASSERT_EQ(third.found().size(), 1u);
-    EXPECT_EQ(mayHaveRunSince(third.found()[0]), sentAt);
+    EXPECT_EQ(third.found()[0].attempts.mayHaveRunSince(), sentAt);
 }
 
 // Damage hides the outcome of the first attempt and the record of the second. The second's outcome follows,
@@ -124,7 +117,7 @@
     }
     const Life second(folder_.path);
     ASSERT_EQ(second.found().size(), 1u);
-    EXPECT_TRUE(mayHaveRunSince(second.found()[0]).has_value());
+    EXPECT_TRUE(second.found()[0].attempts.mayHaveRunSince().has_value());
 }
 
 }  // namespace
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -26,15 +26,25 @@
     bool room = true;
     store::Recovered recover() override { return {}; }
     bool take(const store::Taken& m) override { return room && live.insert(m.id).second; }
-    bool attempt(const std::string&, store::RecordMs) override { return ++attempts, room; }
-    void unsent(const std::string&) override { ++unsents; }
-    void outcome(const std::string&, bool, bool) override { ++outcomes; }
-    void done(const std::string& id) override { CHECK(live.erase(id) == 1); }
-    void ended(const store::Owed& notice) override {
+    std::optional<store::AttemptNumber> beginAttempt(const std::string&, store::RecordMs) override {
+        ++attempts;
+        if (!room) return {};
+        return static_cast<store::AttemptNumber>(attempts);
+    }
+    bool neverLeft(const std::string&, store::AttemptNumber) override { return ++unsents > 0; }
+    bool settle(const std::string&, store::AttemptNumber, store::AttemptOutcome) override {
+        return ++outcomes > 0;
+    }
+    bool failWithoutAttempt(const std::string&, store::RecordMs) override { return ++outcomes > 0; }
+    bool done(const std::string& id) override {
+        CHECK(live.erase(id) == 1);
+        return true;
+    }
+    bool ended(const store::Owed& notice) override {
         CHECK(live.erase(notice.id) == 1);
-        owed.insert(notice.id);
+        return owed.insert(notice.id).second;
     }
-    void noticed(const std::string& id) override { owed.erase(id); }
+    bool noticed(const std::string& id) override { return owed.erase(id) == 1; }
 };
 
 constexpr int kMaxOpen = 6;
@@ -215,9 +225,9 @@
     m.effect = 1;
     m.key = "k";
     m.deadline = now.count() + within;
-    m.attempts = attempts;
-    m.out = ranAgo > 0;
-    m.sentAt = ranAgo > 0 ? now.count() - ranAgo : 0;
+    const auto sentAt = ranAgo > 0 ? now.count() - ranAgo : 0;
+    m.attempts = store::AttemptHistory(
+        {.made = attempts, .last = attempts, .sentAt = sentAt, .mayHaveRunSince = sentAt});
     m.body = std::make_shared<const std::string>("body");
     return m;
 }
@@ -249,10 +259,13 @@
         std::vector<store::Taken> all;
         for (int i = 0; i < 3; ++i) {
             all.push_back(left("m" + std::to_string(i), 9000, 1, 5000));
-            all.back().failures = 1;
+            auto attempts = all.back().attempts.state();
+            attempts.failures = 1;
+            attempts.failedAt = attempts.sentAt;
+            all.back().attempts = store::AttemptHistory(attempts);
             rig.memory.live.insert(all.back().id);
         }
-        rig.facade.restore(all, knownFor == 0 ? 0 : all.back().sentAt + knownFor);
+        rig.facade.restore(all, knownFor == 0 ? 0 : all.back().attempts.lastFailureAt() + knownFor);
         const auto standings = rig.facade.standings();
         return std::any_of(standings.begin(), standings.end(),
                            [](const auto& s) { return s.destination == 7 && s.down; });
--- a/tests/laurelhaven/journal_test.cpp
+++ b/tests/laurelhaven/journal_test.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <optional>
 
 #include "check.hpp"
 #include "log/log.hpp"
@@ -25,6 +26,11 @@
     return m;
 }
 
+void attemptAndSettle(Journal& journal, const std::string& id, RecordMs at, AttemptOutcome outcome) {
+    const auto attempt = journal.beginAttempt(id, at);
+    CHECK(attempt && journal.settle(id, *attempt, outcome));
+}
+
 std::string slurp(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     return {std::istreambuf_iterator<char>(file), {}};
@@ -46,14 +52,11 @@
         journal.recover();
         for (const char* id : {"fresh", "out", "ran", "full", "down", "done", "ended", "heard"})
             CHECK(journal.take(message(id)));
-        CHECK(journal.attempt("out", 100));
-        CHECK(journal.attempt("ran", 200));
-        journal.outcome("ran", true, true);
-        CHECK(journal.attempt("ran", 300));
-        journal.outcome("ran", true, true);
-        CHECK(journal.attempt("full", 400));
-        journal.outcome("full", false, false);
-        journal.outcome("down", false, true);
+        CHECK(journal.beginAttempt("out", 100));
+        attemptAndSettle(journal, "ran", 200, {true, true});
+        attemptAndSettle(journal, "ran", 300, {true, true});
+        attemptAndSettle(journal, "full", 400, {false, false});
+        CHECK(journal.failWithoutAttempt("down", 450));
         journal.done("done");
         journal.ended({"ended", End::returned, 500});
         journal.ended({"heard", End::failed, 0});
@@ -66,11 +69,15 @@
         CHECK(by.size() == 5 && found.messages[0].id == "fresh");
         CHECK(by["fresh"].key == "key-fresh" && *by["fresh"].body == "body" &&
               by["fresh"].deadline == 1234567);
-        CHECK(by["fresh"].destination == 7 && by["fresh"].attempts == 0 && !by["fresh"].out);
-        CHECK(by["out"].out && by["out"].attempts == 1 && by["out"].sentAt == 100 && by["out"].ranAt == 0);
-        CHECK(!by["ran"].out && by["ran"].attempts == 2 && by["ran"].failures == 2 && by["ran"].ranAt == 200);
-        CHECK(by["full"].attempts == 1 && by["full"].failures == 0 && by["full"].ranAt == 0);
-        CHECK(by["down"].attempts == 0 && by["down"].failures == 1);
+        CHECK(by["fresh"].destination == 7 && by["fresh"].attempts.made() == 0 &&
+              !by["fresh"].attempts.mayHaveRunSince());
+        CHECK(by["out"].attempts.made() == 1 && by["out"].attempts.mayHaveRunSince() == 100);
+        const auto& ran = by["ran"].attempts;
+        CHECK(!ran.open() && ran.made() == 2 && ran.failures() == 2 && ran.mayHaveRunSince() == 200);
+        const auto& full = by["full"].attempts;
+        CHECK(full.made() == 1 && full.failures() == 0 && !full.mayHaveRunSince());
+        CHECK(by["down"].attempts.made() == 0 && by["down"].attempts.failures() == 1 &&
+              by["down"].attempts.lastFailureAt() == 450);
         CHECK(found.notices.size() == 1 && found.notices[0].id == "ended" && found.notices[0].afterMs == 500);
     }
 }
@@ -85,22 +92,97 @@
         work(journal, found);
     };
     life([](Journal& journal, const Recovered&) {
-        CHECK(journal.take(message("m")) && journal.attempt("m", 100));
+        CHECK(journal.take(message("m")) && journal.beginAttempt("m", 100));
     });
     life([](Journal& journal, const Recovered& found) {
-        CHECK(found.messages.size() == 1 && found.messages[0].out);
+        CHECK(found.messages.size() == 1 && found.messages[0].attempts.mayHaveRunSince() == 100);
         for (const RecordMs at : {200, 300}) {  // turned away, twice
-            CHECK(journal.attempt("m", at));
-            journal.outcome("m", false, false);
+            attemptAndSettle(journal, "m", at, {false, false});
         }
     });
     life([](Journal& journal, const Recovered& found) {
-        CHECK(found.messages.size() == 1 && !found.messages[0].out && found.messages[0].ranAt == 100);
-        CHECK(journal.attempt("m", 400));
+        CHECK(found.messages.size() == 1 && found.messages[0].attempts.mayHaveRunSince() == 100);
+        CHECK(journal.beginAttempt("m", 400));
     });
     life([](Journal&, const Recovered& found) {
-        CHECK(found.messages[0].out && found.messages[0].ranAt == 100 && found.messages[0].attempts == 4);
+        CHECK(found.messages[0].attempts.mayHaveRunSince() == 100 && found.messages[0].attempts.made() == 4);
+    });
+}
+
+// What an attempt came to changes nothing about any other, nor does what belongs to no attempt.
+void anOutcomeSettlesItsOwnAttemptAlone() {
+    const check::Folder folder;
+    const auto life = [&](const auto& work) {
+        Journal journal(folder.path, kDisk);
+        const auto found = journal.recover();
+        CHECK(found.messages.size() == 1);
+        work(journal, found.messages[0].attempts);
+    };
+    {
+        Journal journal(folder.path, kDisk);
+        CHECK(journal.take(message("m")) && journal.beginAttempt("m", 100) == 1u);
+        CHECK(!journal.settle("m", 2, {false, false}) && !journal.neverLeft("m", 2));
+        CHECK(!journal.settle("other", 1, {false, false}) && !journal.failWithoutAttempt("other", 100));
+    }
+    life([](Journal& journal, const AttemptHistory& attempts) {
+        CHECK(attempts.mayHaveRunSince() == 100 && attempts.made() == 1);
+        CHECK(!journal.settle("m", 1, {false, false}));  // that was another life's
+        CHECK(journal.failWithoutAttempt("m", 150));
+    });
+    life([](Journal& journal, const AttemptHistory& attempts) {
+        CHECK(attempts.mayHaveRunSince() == 100 && attempts.failures() == 1);
+        CHECK(journal.beginAttempt("m", 200) == 2u && journal.settle("m", 2, {false, false}));
+        CHECK(!journal.settle("m", 2, {true, true}));
     });
+    life([](Journal& journal, const AttemptHistory& attempts) {
+        CHECK(attempts.mayHaveRunSince() == 100 && attempts.made() == 2);
+        CHECK(!journal.noticed("m"));  // it has not ended, and is still owed
+        CHECK(journal.ended({"m", End::failed, 0}) && !journal.ended({"m", End::returned, 0}));
+        CHECK(!journal.done("m") && !journal.beginAttempt("m", 300));
+    });
+    Journal journal(folder.path, kDisk);
+    const auto found = journal.recover();
+    CHECK(found.messages.empty() && found.notices.size() == 1 && found.notices[0].end == End::failed);
+}
+
+// Records of the version before this one, whose attempts have no numbers. It wrote the failure of a connect
+// like an outcome: where an attempt was open then, it may have run.
+void attemptsWithoutNumbersAreRead() {
+    struct Case {
+        bool opens;  // an attempt at 100
+        bool ran, failed;
+        bool settled;  // there is an outcome
+        std::optional<RecordMs> since;
+    };
+    for (const Case& c : {Case{true, false, false, false, 100}, Case{true, false, false, true, {}},
+                          Case{true, true, true, true, 100}, Case{true, false, true, true, 100},
+                          Case{false, false, true, true, {}}}) {
+        const check::Folder folder;
+        auto file = framed("LHR1", Writer('M')
+                                       .text("m")
+                                       .text("key")
+                                       .number(7)
+                                       .text("g")
+                                       .text("t")
+                                       .number(1)
+                                       .number(1234567)
+                                       .number(0)
+                                       .number(0)
+                                       .number(0)
+                                       .number(0)
+                                       .number(0)
+                                       .text("body")
+                                       .take());
+        if (c.opens) file += framed("LHR1", Writer('A').text("m").number(100).take());
+        if (c.settled) file += framed("LHR1", Writer('O').text("m").number(c.ran).number(c.failed).take());
+        spill(folder.path + "/messages.log", file);
+        for (int life = 0; life < 2; ++life) {
+            Journal journal(folder.path, kDisk);
+            const auto found = journal.recover();
+            CHECK(found.messages.size() == 1 && found.messages[0].attempts.mayHaveRunSince() == c.since);
+            CHECK(journal.failWithoutAttempt("m", 200));
+        }
+    }
 }
 
 /// A record of the first form, as an earlier version wrote it: classes and tenants by their positions.
@@ -132,7 +214,8 @@
         const auto found = journal.recover();
         CHECK(found.messages.size() == 2 && found.messages[0].grade == "b" &&
               found.messages[0].tenant == "t");
-        CHECK(found.messages[0].effect == 2 && found.messages[0].out && found.messages[0].attempts == 1);
+        CHECK(found.messages[0].effect == 2 && found.messages[0].attempts.mayHaveRunSince() == 100 &&
+              found.messages[0].attempts.made() == 1);
         CHECK(found.messages[1].grade.empty());
         auto fresh = message("new");
         fresh.grade = "b", fresh.tenant = "s", fresh.effect = 2;
@@ -153,20 +236,20 @@
         Journal journal(folder.path, kDisk);
         journal.recover();
         CHECK(journal.take(message("m")) && journal.take(message("ran")));
-        CHECK(journal.attempt("m", 100));
-        journal.unsent("m");
-        journal.unsent("m");  // nothing is left to take back
-        CHECK(journal.attempt("ran", 100));
+        const auto attempt = journal.beginAttempt("m", 100);
+        CHECK(attempt && journal.neverLeft("m", *attempt));
+        CHECK(!journal.neverLeft("m", *attempt));  // nothing is left to take back
+        CHECK(journal.beginAttempt("ran", 100));
     }
     {
         Journal journal(folder.path, kDisk);
         const auto found = journal.recover();
-        CHECK(found.messages[0].attempts == 0 && !found.messages[0].out && found.messages[0].ranAt == 0);
-        CHECK(journal.attempt("ran", 200));
-        journal.unsent("ran");
+        CHECK(found.messages[0].attempts.made() == 0 && !found.messages[0].attempts.mayHaveRunSince());
+        const auto attempt = journal.beginAttempt("ran", 200);
+        CHECK(attempt && journal.neverLeft("ran", *attempt));
     }
     const auto found = Journal(folder.path, kDisk).recover();
-    CHECK(found.messages[1].attempts == 1 && !found.messages[1].out && found.messages[1].ranAt == 100);
+    CHECK(found.messages[1].attempts.made() == 1 && found.messages[1].attempts.mayHaveRunSince() == 100);
 }
 
 // A process may be killed at any byte: whatever was written whole is there, and the tail is dropped.
@@ -215,8 +298,7 @@
     CHECK(taken >= 20);
     for (int round = 0; round < 8 * taken; ++round) {
         const auto id = "big" + std::to_string(round % taken);
-        CHECK(journal.attempt(id, round));
-        journal.outcome(id, true, true);
+        attemptAndSettle(journal, id, round, {true, true});
         CHECK(diskUse(folder.path) <= kDisk);
     }
     CHECK(Journal(folder.path, kDisk).recover().messages.size() == static_cast<std::size_t>(taken));
@@ -225,7 +307,7 @@
     for (int i = 0; i < 400; ++i) {  // many times the limit passes through
         const auto id = "m" + std::to_string(i);
         CHECK(journal.take(message(id, big)));
-        CHECK(journal.attempt(id, 1));
+        CHECK(journal.beginAttempt(id, 1));
         journal.done(id);
         most = std::max(most, diskUse(folder.path));
     }
@@ -247,7 +329,7 @@
         journal.recover();
         CHECK(journal.take(message("m")) && journal.take(message("done")));
         taken = journal.fileBytes();
-        CHECK(journal.attempt("m", 100));
+        CHECK(journal.beginAttempt("m", 100));
         tried = journal.fileBytes();
         journal.done("done");
         CHECK(journal.take(message("after")));
@@ -258,8 +340,9 @@
         damaged[at] = static_cast<char>(damaged[at] ^ 0x20);
         spill(path, damaged);
         const auto found = Journal(folder.path, kDisk).recover();
-        CHECK(found.messages.size() == 2 && found.messages[0].id == "m" && found.messages[0].ranAt > 0);
-        CHECK(found.messages[1].id == "after" && found.messages[1].ranAt == 0);
+        CHECK(found.messages.size() == 2 && found.messages[0].id == "m" &&
+              found.messages[0].attempts.mayHaveRunSince());
+        CHECK(found.messages[1].id == "after" && !found.messages[1].attempts.mayHaveRunSince());
     }
 }
 
@@ -287,6 +370,8 @@
     laurelhaven::log::setLevel(laurelhaven::log::Level::off);
     everythingOwedComesBack();
     whatWasOutAtAKillMayHaveRunInEveryLaterLife();
+    anOutcomeSettlesItsOwnAttemptAlone();
+    attemptsWithoutNumbersAreRead();
     classesAndTenantsAreKeptByName();
     anAttemptThatNeverLeftIsNone();
     everyTornTailIsDropped();
--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -549,14 +549,16 @@
         const std::lock_guard lock(mutex);
         return order;
     }
-    bool attempt(const std::string&, store::RecordMs) override {
+    std::optional<store::AttemptNumber> beginAttempt(const std::string&, store::RecordMs) override {
         if (onAttempt) onAttempt(++attempts);
         add('a');
-        return true;
+        return 1;
     }
-    void unsent(const std::string&) override { add('u'); }
-    void outcome(const std::string&, bool, bool) override { add('o'); }
-    void done(const std::string&) override { add('d'); }
+    bool neverLeft(const std::string&, store::AttemptNumber) override { return add('u'), true; }
+    bool settle(const std::string&, store::AttemptNumber, store::AttemptOutcome) override {
+        return add('o'), true;
+    }
+    bool done(const std::string&) override { return add('d'), true; }
 };
 
 // The far side speaks or leaves on a kept connection between the look at it and the first byte. The call goes
--- a/tests/store/disk_faults_test.cpp
+++ b/tests/store/disk_faults_test.cpp
@@ -49,31 +49,33 @@
 TEST_F(JournalDiskFaults, WhatHappenedWhileWritesFailedIsOnRecordAfterwards) {
     Journal journal(folder_.path, kDiskBytes);
     journal.recover();
+    std::map<std::string, AttemptNumber> attempts;
     for (const char* id : {"delivered", "failed", "refused", "unsent", "returned", "told"}) {
         ASSERT_TRUE(journal.take(message(id)));
-        ASSERT_TRUE(journal.attempt(id, 100));
+        const auto attempt = journal.beginAttempt(id, 100);
+        ASSERT_TRUE(attempt.has_value());
+        attempts[id] = *attempt;
     }
     journal.ended({"told", End::failed, 0});
 
     faults::writeFailure.arm(ENOSPC);
     journal.done("delivered");
-    journal.outcome("failed", true, true);
-    journal.outcome("refused", false, false);
-    journal.unsent("unsent");
+    EXPECT_TRUE(journal.settle("failed", attempts["failed"], {true, true}));
+    EXPECT_TRUE(journal.settle("refused", attempts["refused"], {false, false}));
+    EXPECT_TRUE(journal.neverLeft("unsent", attempts["unsent"]));
     journal.ended({"returned", End::returned, 500});
     journal.noticed("told");
     EXPECT_FALSE(journal.take(message("late"))) << "nothing may be taken on that is not on record";
-    EXPECT_FALSE(journal.attempt("refused", 200)) << "no call may begin that is not on record";
+    EXPECT_FALSE(journal.beginAttempt("refused", 200)) << "no call may begin that is not on record";
     repairDisk();
 
     ASSERT_TRUE(journal.take(message("next")));
     auto found = messagesAfterKill();
     EXPECT_FALSE(found.count("delivered"));
-    EXPECT_FALSE(found["failed"].out);
-    EXPECT_EQ(found["failed"].ranAt, 100);
-    EXPECT_FALSE(found["refused"].out);
-    EXPECT_EQ(found["refused"].ranAt, 0);
-    EXPECT_EQ(found["unsent"].attempts, 0u);
+    EXPECT_EQ(found["failed"].attempts.mayHaveRunSince(), 100);
+    EXPECT_EQ(found["failed"].attempts.failures(), 1u);
+    EXPECT_FALSE(found["refused"].attempts.mayHaveRunSince().has_value());
+    EXPECT_EQ(found["unsent"].attempts.made(), 0u);
     EXPECT_FALSE(found.count("returned"));
     EXPECT_TRUE(found.count("next"));
     EXPECT_FALSE(found.count("late"));
@@ -100,7 +102,8 @@
     auto found = messagesAfterKill();
     for (const char* id : {"before", "after"}) {
         ASSERT_TRUE(found.count(id)) << id;
-        EXPECT_EQ(found[id].ranAt, 0) << id << " counts as one that may have run";
+        EXPECT_FALSE(found[id].attempts.mayHaveRunSince().has_value())
+            << id << " counts as one that may have run";
     }
     EXPECT_FALSE(found.count("torn"));
     EXPECT_EQ(found.count("behind") == 1, stored);
