Hold what an answer says of an endpoint against the address that gave it

A stranger at the old address made the endpoint one that only discovery can name again; a good answer there vouched for the new address.

Change: word of an answer carries the address, and counts only while the endpoint is still there.

Test: Roster.AnAnswerFromAnEndpointsOldAddressSaysNothingOfItsNewOne, seen red without the two conditions.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -121,7 +121,7 @@
          },
          [&](const std::string& endpoint) { calls->closeIdle(endpoint); },
          [&](const decisions::Call& call, const decisions::Result& result, auto took) {
-             list->answered(call.endpoint, result);
+             list->answered(call, result);
              capture.answered(call, result, took);
          },
          [&](std::uint64_t destination) { list->wanted(destination); },
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -284,12 +284,13 @@
 
 // ---- from the facade ----
 
-void Roster::answered(const std::string& endpoint, const decisions::Result& result) {
+void Roster::answered(const decisions::Call& call, const decisions::Result& result) {
     const bool good = result.ending == decisions::Ending::delivered;
     if (!good && !result.foreign) return;
     const std::lock_guard lock(inbox_);
     const bool first = word_.empty();
-    auto& word = word_[endpoint];  // bounded: one for each endpoint that gets calls
+    auto& word = word_[call.endpoint];  // bounded: one for each endpoint that gets calls
+    if (word.address != call.address) word = {call.address, 0, false};
     word.delivered += good;
     if (result.foreign && !word.foreign) word.foreign = urgent_ = true;
     if (first || urgent_) wake_.notify_all();
@@ -305,9 +306,12 @@
     const auto now = recordClock_.now();
     std::vector<std::string> touched;
     for (const auto& [endpoint, one] : word) {
+        // Danger: the list may have moved the endpoint since the call went out. What answered at its old
+        // address, well or like a stranger, says nothing of the new one.
+        const auto* entry = list_.find(endpoint);
+        if (!entry || entry->is.address != one.address) continue;
         if (one.delivered > 0) {
-            const auto* entry = list_.find(endpoint);
-            const bool first = entry && !entry->answered;
+            const bool first = !entry->answered;
             list_.answered(endpoint, Source::call, now, one.delivered);
             if (first && !list_.live()) touched.push_back(endpoint);
         }
@@ -398,6 +402,9 @@
         }
     }
     const std::lock_guard lock(work_);
+    const auto* entry = list_.find(endpoint);
+    // Moved meanwhile, or gone: what answered at the old address says nothing of it.
+    if (!entry || entry->is.address != at) return;
     // Whoever knows no probes tells nothing by that; what the list says has to do.
     const bool good = (status == 200 || status == 404) && !stranger;
     probes_.answered(endpoint, good, Steady::now());
@@ -409,7 +416,7 @@
         .kv("probes", probes_.sent());
     // What reached the partner weighs there like a call: it is taken off what calls may go. So it is in doubt
     // before it is offered.
-    if (const auto* entry = list_.find(endpoint); entry && status > 0) {
+    if (status > 0) {
         doubted_.insert(entry->is.group);
         decisions_.report({decisions::Standing{entry->is.group, false, {}, 0, true, true}});
     }
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -67,7 +67,7 @@
     std::uint64_t index() const;
 
     // -- from the facade, under its lock: these only leave word --
-    void answered(const std::string& endpoint, const decisions::Result& result);
+    void answered(const decisions::Call& call, const decisions::Result& result);
     void wanted(std::uint64_t destination);
 
     struct Counts {
@@ -78,7 +78,8 @@
     Counts counts() const;
 
   private:
-    struct Word {  // what came in about one endpoint
+    struct Word {  // what came in about one endpoint, at one address
+        std::string address;
         double delivered = 0;
         bool foreign = false;
     };
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "check.hpp"
 #include "config/config.hpp"
 #include "log/log.hpp"
@@ -48,4 +50,40 @@
     EXPECT_EQ(facade.counts().destinations, 1u);
 }
 
+// Danger: a call may be out while the list moves its endpoint. Whoever answers like a stranger at the old
+// address is one; the endpoint at its new address is not.
+TEST(Roster, AnAnswerFromAnEndpointsOldAddressSaysNothingOfItsNewOne) {
+    log::setLevel(log::Level::off);
+    const check::Folder folder;
+    const auto config =
+        config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "", check::settings()),
+                         {{"BALANCER_STATE", folder.path}});
+    check::NoStore store;
+    decisions::Decisions facade(config, store, {});
+    roster::Options options;
+    options.keep = options.probe = false;
+    roster::Roster roster(config, options, facade);
+    roster.begin();
+    roster.start();
+    const auto serving = listing::Status::serving;
+    roster.heard({10, true, {endpoint("moved", 1, serving), endpoint("stranger", 2, serving)}});
+    roster.heard({11, false, {endpoint("moved", 3, serving)}});
+    roster.lost();  // while discovery vouches for an endpoint, no answer says otherwise
+    const auto answersLikeAStranger = [&](const listing::Endpoint& at) {
+        decisions::Call call;
+        call.endpoint = at.name;
+        call.address = at.address;
+        decisions::Result result;
+        result.ending = decisions::Ending::error;
+        result.foreign = true;
+        roster.answered(call, result);
+    };
+    answersLikeAStranger(endpoint("moved", 1, serving));
+    answersLikeAStranger(endpoint("stranger", 2, serving));  // behind the other: both are weighed then
+    for (const auto until = decisions::Steady::now() + std::chrono::seconds(30);
+         roster.counts().refuted == 0 && decisions::Steady::now() < until;)
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    EXPECT_EQ(roster.counts().refuted, 1u);
+}
+
 }  // namespace
