Draw restarts on end, signal series and crowds in the soak; clients stay until the kill

Each trouble was drawn by itself; two kills of one sender and an outage of its partner between them, within the life of one message, hardly ever met. Clients stood still through a stop, which was waited for beyond the platform's 3.7 s; signals came one at a time.

In make check two more short seeds, of kills and outages alone.

--- a/lab/rig/sender.cpp
+++ b/lab/rig/sender.cpp
@@ -24,6 +24,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds kStopWithin{5};
+
 constexpr const char* kOneClass =
     R"([{"name":"notice","effect":"token","give-up-ns":28000000000,"slo-ns":4000000000,"key-scope":"all",)"
     R"("key-ttl-ns":15000000000,"credit":1.0,"late-share":0.5}])";
@@ -48,7 +50,8 @@
            number(p.held) + R"(,"max-retry-after-ns":3000000000,"retry-after":true,"may-probe":)" +
            (p.mayProbe ? "true" : "false") +
            R"(},"safety":{"answer-slack-ns":20000000,"cold-from":0.19,"drain-grace-ns":250000000,)"
-           R"("fall-multiple":2.0,"overload-for-ns":2000000000,"warm-up-ns":14000000000}}})";
+           R"("fall-multiple":2.0,"overload-for-ns":2000000000,"warm-up-ns":)" +
+           number(std::chrono::nanoseconds(p.warmUp).count()) + "}}}";
 }
 
 bool ready(const std::string& address) {
@@ -138,15 +141,17 @@
 }
 
 int SenderProcess::stop() {
+    signal(SIGTERM);
+    return awaitEnd(net::Steady::now() + kStopWithin);
+}
+
+int SenderProcess::awaitEnd(std::chrono::steady_clock::time_point until) {
     if (pid_ <= 0) return -1;
-    ::kill(pid_, SIGTERM);
-    for (const auto until = net::Steady::now() + std::chrono::seconds(5); net::Steady::now() < until;) {
+    for (; net::Steady::now() < until; std::this_thread::sleep_for(milliseconds(5))) {
         int status = 0;
-        if (waitpid(pid_, &status, WNOHANG) == pid_) {
-            pid_ = -1;
-            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-        }
-        std::this_thread::sleep_for(milliseconds(5));
+        if (waitpid(pid_, &status, WNOHANG) != pid_) continue;
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     }
     kill();
     return -1;
--- a/lab/rig/sender.hpp
+++ b/lab/rig/sender.hpp
@@ -20,6 +20,7 @@
     bool mayProbe = true;
     int diskMb = 3;
     int slots = 24, held = 400, sockets = 1024, memoryMb = 192, tenants = 1;
+    std::chrono::milliseconds warmUp{14000};  ///< of a partner after an outage
     std::uint64_t seed = 1;
     std::string grades;                    ///< JSON of the classes, or empty for one keyed class
     std::vector<std::string> environment;  ///< further variables, as NAME=value
@@ -40,6 +41,8 @@
     void kill();
     /// SIGTERM. The exit status, or -1 where it had to be killed.
     int stop();
+    /// Waits for its end, and kills it where it has not come until then. The exit status, or -1.
+    int awaitEnd(std::chrono::steady_clock::time_point until);
     /// Writes the configuration anew, with discovery elsewhere, and sends SIGHUP.
     void moveDiscovery(const std::string& address);
     /// Sends a signal to the running process.
--- a/lab/soak/oracle.cpp
+++ b/lab/soak/oracle.cpp
@@ -30,6 +30,24 @@
                                              [&](const Down& d) { return d.unwritable && d.from >= since; });
 }
 
+bool Oracle::killedWithin(std::size_t sender, Moment from, Moment to) const {
+    const auto it = downs_.find(sender);
+    return it != downs_.end() && std::any_of(it->second.begin(), it->second.end(), [&](const Down& d) {
+               return d.killed && d.from >= from && d.from <= to;
+           });
+}
+
+/// Told in the moment of a kill, a sender need not have read it; and what it could not write down, its next
+/// life does not know.
+std::optional<Moment> Oracle::surelyToldEnd(std::size_t sender, const std::string& endpoint) const {
+    const auto tells = endsTold_.find({sender, endpoint});
+    if (tells == endsTold_.end()) return {};
+    const auto margin = settings_.tolerance.heardBeforeKill;
+    for (const auto at : tells->second)
+        if (!killedWithin(sender, at - margin, at + margin) && !lostItsRecord(sender, at)) return at;
+    return {};
+}
+
 bool Oracle::downWithin(std::size_t sender, Moment from, Moment to, bool killedOnly) const {
     const auto it = downs_.find(sender);
     return it != downs_.end() && std::any_of(it->second.begin(), it->second.end(), [&](const Down& d) {
@@ -65,6 +83,7 @@
     message.abandoned = true;
     if (how == NoAnswer::gaveUp) ++counts_.abandoned;
     else ++counts_.crossed;
+    if (how == NoAnswer::reset || how == NoAnswer::closed) message.closedAt = at;
     // A sender that is killed answers nothing more; one that lives, or stops, answers whatever it has read.
     const auto around = milliseconds(100);
     if (how == NoAnswer::closed && fresh &&
@@ -135,12 +154,11 @@
 /// May this endpoint be called?
 void Oracle::checkEndpoint(const Message& message, const Call& call) {
     const auto sender = message.in.sender;
-    const auto told = endsTold_.find({sender, call.endpoint});
-    if (told != endsTold_.end() && call.begun > told->second + settings_.tolerance.drainGrace &&
-        !lostItsRecord(sender, told->second))
+    const auto told = surelyToldEnd(sender, call.endpoint);
+    if (told && call.begun > *told + settings_.tolerance.drainGrace)
         violate("drain",
                 call.id + " of sender " + std::to_string(sender) + " to " + call.endpoint + " " +
-                    milli(call.begun - told->second) + " after it was told",
+                    milli(call.begun - *told) + " after it was told",
                 call.begun, {message.in.sender, call.destination});
     const auto wait = waits_.find({sender, call.destination});
     if (wait == waits_.end()) return;
@@ -210,7 +228,7 @@
 
 void Oracle::toldEnd(std::size_t sender, const std::string& endpoint, Moment at) {
     const std::lock_guard lock(mutex_);
-    endsTold_.try_emplace({sender, endpoint}, at);
+    endsTold_[{sender, endpoint}].push_back(at);
 }
 
 // ---- senders ----
@@ -221,7 +239,7 @@
 }
 void Oracle::ready(std::size_t sender, Moment at) {
     const std::lock_guard lock(mutex_);
-    if (!downs_[sender].empty()) downs_[sender].back().to = at;
+    for (auto& span : downs_[sender]) span.to = std::min(span.to, at);
     std::erase_if(waits_, [&](const auto& entry) { return entry.first.first == sender; });
 }
 void Oracle::heldUp(std::size_t sender, Moment from, Moment to) {
@@ -262,6 +280,7 @@
 void Oracle::judge(Moment now) {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, m] : messages_) {
+        checkClosed(id, m);
         if (!m.taken || m.abandoned) continue;
         const auto due = dueAt(m);
         if (due > now) continue;
@@ -281,6 +300,15 @@
     }
 }
 
+/// A request that was called for had been read: its client was owed an answer. A kill answers nobody.
+void Oracle::checkClosed(const std::string& id, const Message& m) {
+    if (m.closedAt == Moment{} || m.calls.empty()) return;
+    const auto around = milliseconds(100);
+    if (downWithin(m.in.sender, m.in.sentAt - around, m.closedAt + around, true)) return;
+    violate("unanswered", id + " was read and called, and its connection closed with no answer", m.closedAt,
+            {m.in.sender, m.in.destination});
+}
+
 std::vector<Violation> Oracle::violations() const {
     const std::lock_guard lock(mutex_);
     return violations_;
--- a/lab/soak/oracle.hpp
+++ b/lab/soak/oracle.hpp
@@ -43,7 +43,8 @@
     refused,  ///< no connection came up
     reset,    ///< the connection was reset: the request was not read
     closed,   ///< the connection was ended in good order: the request was read, or might have been
-    gaveUp    ///< the client's patience was over
+    gaveUp,   ///< the client's patience was over
+    faulty    ///< the sender's own network failed just then
 };
 
 struct Violation {
@@ -59,7 +60,8 @@
     milliseconds waitLetThrough{100};
     milliseconds keyWindow{200};
     milliseconds stop{3500};
-    milliseconds restart{1500};  ///< after its readiness no notice of a restarted sender is overdue
+    milliseconds heardBeforeKill{50};  ///< what is told so shortly before a kill need not have been read
+    milliseconds restart{1500};        ///< after its readiness no notice of a restarted sender is overdue
 };
 
 struct OracleSettings {
@@ -137,6 +139,7 @@
     struct Message {
         HandIn in;
         bool taken = false, abandoned = false, known = false;
+        Moment closedAt{};  ///< its connection was ended with no answer, though its client waited
         std::vector<std::uint64_t> calls;
         Moment deliveredAt{}, heardAt{}, noticedAt{};
         std::string state;  ///< of its notice
@@ -151,18 +154,22 @@
 
     void violate(const std::string& rule, const std::string& detail, Moment at, const Parties& parties = {});
     bool lostItsRecord(std::size_t sender, Moment since) const;
+    /// Since when the sender knows that the endpoint drains or has gone; nothing where it may not.
+    std::optional<Moment> surelyToldEnd(std::size_t sender, const std::string& endpoint) const;
+    bool killedWithin(std::size_t sender, Moment from, Moment to) const;
     bool downWithin(std::size_t sender, Moment from, Moment to, bool killedOnly = false) const;
     bool heldWithin(std::size_t sender, Moment from, Moment to) const;
     Moment dueAt(const Message& message) const;
     void checkRepeat(const Message& message, const Call& call);
     void checkEndpoint(const Message& message, const Call& call);
+    void checkClosed(const std::string& id, const Message& message);
 
     OracleSettings settings_;
     std::function<std::string(Moment, const Parties&)> troubleNames_;
     mutable std::mutex mutex_;
     std::unordered_map<std::string, Message> messages_;
     std::vector<Call> calls_;
-    std::map<std::pair<std::size_t, std::string>, Moment> endsTold_;
+    std::map<std::pair<std::size_t, std::string>, std::vector<Moment>> endsTold_;  ///< by sender, endpoint
     std::map<std::pair<std::size_t, std::uint64_t>, Wait> waits_;
     std::map<std::size_t, std::vector<Down>> downs_, holds_;
     std::vector<Violation> violations_;
--- a/lab/soak/troubles.cpp
+++ b/lab/soak/troubles.cpp
@@ -2,23 +2,25 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/random/mersenne_twister.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <cerrno>
 #include <cstdio>
+#include <optional>
+
+#include "soak/chance.hpp"
 
 namespace laurelhaven::lab::soak {
 namespace {
 
-using Chance = boost::random::mt19937_64;
-
-std::int64_t between(Chance& chance, std::int64_t least, std::int64_t most) {
-    return boost::random::uniform_int_distribution<std::int64_t>(least, most)(chance);
-}
+constexpr std::uint64_t kCrowdInRuns = 3;  // one run in so many has a crowd
+// Alone: enough that each sender has one now and again, and every partner, too.
+constexpr std::int64_t kSpanOfOneMs = 3000;
+constexpr int kLeastLifeMs = 500, kMostLifeMs = 2400;  // from one restart of a cluster to the next
+constexpr int kOutageTimes = 2;  // an outage in a cluster lasts longer than one that comes alone
+constexpr std::int64_t kSpanOfClusterMs = 6000;  // of one sender's time, in which a cluster befalls it
 
 template <std::size_t N>
 std::int64_t oneOf(Chance& chance, const std::array<std::int64_t, N>& all) {
-    return all[static_cast<std::size_t>(between(chance, 0, static_cast<std::int64_t>(N) - 1))];
+    return all[between<std::size_t>(chance, 0, N - 1)];
 }
 
 std::int64_t parameter(Chance& chance, Kind kind) {
@@ -34,52 +36,120 @@
         case Kind::broken: return oneOf(chance, kBroken);
         case Kind::wallStep: return oneOf(chance, kSteps);
         case Kind::turnsAway: return between(chance, 200, 900);
+        case Kind::series: return between(chance, 0, kSeries - 1);
         default: return between(chance, 100, 600);
     }
 }
 
 milliseconds spanOf(Chance& chance, Kind kind) {
     if (kind == Kind::holdUp) return milliseconds(between(chance, 50, 150));
-    if (kind == Kind::stop || kind == Kind::kill) return milliseconds(between(chance, 50, 900));
+    if (ofProcess(kind)) return milliseconds(between(chance, 50, 900));
+    if (kind == Kind::crowd) return milliseconds(between(chance, 2000, 6000));
     return milliseconds(between(chance, 400, 2500));
 }
 
+bool isRestart(Kind kind) { return kind == Kind::stop || kind == Kind::kill || kind == Kind::series; }
+bool isOutage(Kind kind) { return kind == Kind::refuses || kind == Kind::hangs; }
+
+/// Draws troubles of the kinds that are wanted.
+class Drawing {
+  public:
+    explicit Drawing(const Draw& wanted) : wanted_(wanted), chance_(wanted.seed) {}
+
+    std::vector<Trouble> all() {
+        const auto span = wanted_.span.count();
+        const auto parties = static_cast<std::int64_t>(wanted_.senders + wanted_.partners);
+        for (std::int64_t i = 0; i < parties * span / kSpanOfOneMs; ++i) alone();
+        for (std::int64_t i = 0; i < static_cast<std::int64_t>(wanted_.senders) * span / kSpanOfClusterMs;
+             ++i)
+            cluster();
+        std::stable_sort(all_.begin(), all_.end(),
+                         [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
+        return std::move(all_);
+    }
+
+  private:
+    bool wants(Kind kind) const {
+        if (kind == Kind::crowd && wanted_.seed % kCrowdInRuns != 0 && wanted_.only.empty()) return false;
+        return wanted_.only.empty() ||
+               std::find(wanted_.only.begin(), wanted_.only.end(), kind) != wanted_.only.end();
+    }
+
+    /// Any of those kinds that is wanted; nothing where none is.
+    template <class Which>
+    std::optional<Kind> any(Which which) {
+        std::vector<Kind> some;
+        for (int i = 0; i < kKinds; ++i)
+            if (const auto kind = static_cast<Kind>(i); wants(kind) && which(kind)) some.push_back(kind);
+        if (some.empty()) return {};
+        return some[between<std::size_t>(chance_, 0, some.size() - 1)];
+    }
+
+    milliseconds anyTime() { return milliseconds(between<std::int64_t>(chance_, 300, wanted_.span.count())); }
+    std::size_t anySender() { return between<std::size_t>(chance_, 0, wanted_.senders - 1); }
+    std::size_t anyPartner() { return between<std::size_t>(chance_, 0, wanted_.partners - 1); }
+
+    void add(std::optional<Kind> kind, std::size_t target, milliseconds at, int times = 1) {
+        if (!kind) return;
+        Trouble trouble;
+        trouble.kind = *kind;
+        trouble.at = std::clamp(at, milliseconds(0), wanted_.span);
+        trouble.span = times * spanOf(chance_, *kind);
+        trouble.target = target;
+        trouble.parameter = parameter(chance_, *kind);
+        all_.push_back(trouble);
+    }
+
+    void alone() {
+        const auto kind = any([](Kind) { return true; });
+        if (kind) add(kind, ofPartner(*kind) ? anyPartner() : anySender(), anyTime());
+    }
+
+    /// Restarts of one sender on end, with the one before it hardly over. Meanwhile one partner has an
+    /// outage, which begins a little earlier or later and may outlast them, and other troubles; and so may
+    /// the sender's machine have.
+    void cluster() {
+        const auto from = anyTime();
+        const auto sender = anySender(), partner = anyPartner();
+        auto at = from;
+        for (int i = between(chance_, 2, 3); i > 0; --i) {
+            add(any(isRestart), sender, at);
+            at += milliseconds(between(chance_, kLeastLifeMs, kMostLifeMs));
+        }
+        add(any(isOutage), partner, from + milliseconds(between(chance_, -400, 600)), kOutageTimes);
+        for (int i = between(chance_, 0, 2); i > 0; --i)
+            add(any(ofPartner), partner, from + milliseconds(between(chance_, -1200, 600)));
+        for (int i = between(chance_, 0, 2); i > 0; --i)
+            add(any([](Kind kind) { return !ofPartner(kind) && !ofProcess(kind); }), sender,
+                from + milliseconds(between(chance_, -800, 1500)));
+    }
+
+    const Draw& wanted_;
+    Chance chance_;
+    std::vector<Trouble> all_;
+};
+
 }  // namespace
 
 std::string name(Kind kind) {
     constexpr std::array<const char*, kKinds> kNames{
-        "stop",          "kill",           "reload",     "hold-up", "wall-step",    "disk",
-        "accept",        "local-socket",   "interrupts", "broken",  "rude-clients", "discovery-silent",
-        "discovery-cut", "discovery-slow", "refuses",    "hangs",   "garbles",      "resets",
-        "turns-away",    "errors",         "drains"};
+        "stop",           "kill",         "reload", "hold-up",          "series",
+        "wall-step",      "disk",         "accept", "local-socket",     "interrupts",
+        "broken",         "rude-clients", "crowd",  "discovery-silent", "discovery-cut",
+        "discovery-slow", "refuses",      "hangs",  "garbles",          "resets",
+        "turns-away",     "errors",       "drains"};
     return kNames[static_cast<std::size_t>(kind)];
 }
 
 bool ofPartner(Kind kind) { return kind >= Kind::refuses; }
 
-std::vector<Trouble> draw(const Draw& wanted) {
-    Chance chance(wanted.seed);
-    std::vector<Trouble> all;
-    // Enough that each sender has one now and again, and every partner, too: two or three at once for each.
-    const auto parties = static_cast<std::int64_t>(wanted.senders + wanted.partners);
-    const auto count = parties * wanted.span.count() / 1500;
-    for (std::int64_t i = 0; i < count; ++i) {
-        Trouble trouble;
-        trouble.kind = wanted.only.empty()
-                           ? static_cast<Kind>(between(chance, 0, kKinds - 1))
-                           : wanted.only[static_cast<std::size_t>(
-                                 between(chance, 0, static_cast<std::int64_t>(wanted.only.size()) - 1))];
-        trouble.at = milliseconds(between(chance, 300, wanted.span.count()));
-        trouble.span = spanOf(chance, trouble.kind);
-        const auto targets = ofPartner(trouble.kind) ? wanted.partners : wanted.senders;
-        trouble.target = static_cast<std::size_t>(between(chance, 0, static_cast<std::int64_t>(targets) - 1));
-        trouble.parameter = parameter(chance, trouble.kind);
-        all.push_back(trouble);
-    }
-    std::sort(all.begin(), all.end(), [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
-    return all;
+bool ofProcess(Kind kind) {
+    return kind == Kind::stop || kind == Kind::kill || kind == Kind::reload || kind == Kind::holdUp ||
+           kind == Kind::series;
 }
 
+std::vector<Trouble> draw(const Draw& wanted) { return Drawing(wanted).all(); }
+
 std::string text(const Trouble& t) {
     char line[160];
     std::snprintf(line, sizeof line, "%.3f s, %.3f s long: %s %s %zu (%lld)",
--- a/lab/soak/troubles.hpp
+++ b/lab/soak/troubles.hpp
@@ -17,6 +17,7 @@
     kill,         ///< SIGKILL, and a start behind it
     reload,       ///< SIGHUP: discovery is elsewhere; the file may be half written at first
     holdUp,       ///< SIGSTOP for a moment
+    series,       ///< several signals on end; its parameter is a Series
     wallStep,     ///< its wall clock is stepped
     disk,         ///< its folder's writes fail
     accept,       ///< its accepts fail
@@ -25,6 +26,7 @@
     broken,       ///< its connections break: ETIMEDOUT, EHOSTUNREACH
     // its clients
     rudeClients,  ///< many that send half, garble, end their sending, or leave
+    crowd,        ///< idle ones that fill its descriptors; only in some runs
     // discovery
     discoverySilent,
     discoveryCut,
@@ -41,11 +43,23 @@
 constexpr int kKinds = static_cast<int>(Kind::drains) + 1;
 std::string name(Kind kind);
 
+/// Signals on end, as a deployment or an operator in haste sends them.
+enum class Series {
+    killTwice,          ///< killed again soon after it is ready
+    killWhileStarting,  ///< killed again while it starts
+    termThenKill,       ///< told to end, and killed before it has
+    termTwice,
+    reloadsThenKill,
+    reloadsThenTerm
+};
+constexpr int kSeries = static_cast<int>(Series::reloadsThenTerm) + 1;
+
 struct Trouble {
     milliseconds at{}, span{};
     Kind kind = Kind::stop;
-    std::size_t target = 0;      ///< a sender or a partner
-    std::int64_t parameter = 0;  ///< an error number, a step in milliseconds, or a share of a thousand
+    std::size_t target = 0;  ///< a sender or a partner
+    /// An error number, a step or a wait in milliseconds, a share of a thousand, or a Series.
+    std::int64_t parameter = 0;
 };
 
 struct Draw {
@@ -55,10 +69,13 @@
     std::vector<Kind> only;  ///< or all kinds
 };
 
-/// In order of time.
+/// In order of time. Some come alone, at any time and to anybody. Others come in clusters: several restarts
+/// of one sender on end while one partner is in trouble and the sender's machine may be, too.
 std::vector<Trouble> draw(const Draw& draw);
 /// "2.300 s, 1.2 s: kill sender 3".
 std::string text(const Trouble& trouble);
 bool ofPartner(Kind kind);
+/// Of a sender's process: such troubles have their turn one after another.
+bool ofProcess(Kind kind);
 
 }  // namespace laurelhaven::lab::soak
--- a/src/store/attempt_history.hpp
+++ b/src/store/attempt_history.hpp
@@ -66,7 +66,7 @@
     bool noteUnknown(AttemptNumber number);
     void fail(RecordMs at);
 
-    State state_;
+    State state_{};
 };
 
 }  // namespace laurelhaven::store
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 #include "check.hpp"
@@ -15,7 +17,14 @@
 
 // ---- the whole ----
 
-class ShortSoak : public testing::TestWithParam<int> {};
+/// What one short soak is drawn from.
+struct Short {
+    std::uint64_t seed;
+    milliseconds span;
+    std::vector<Kind> only;
+};
+
+class ShortSoak : public testing::TestWithParam<Short> {};
 
 TEST_P(ShortSoak, NoRuleIsBroken) {
     log::setLevel(log::Level::off);
@@ -24,30 +33,42 @@
     options.program = PROGRAM;
     options.shim = SHIM;
     options.folder = folder.path + "/soak";
-    options.seed = static_cast<std::uint64_t>(GetParam());
-    options.span = milliseconds(6000);
+    options.seed = GetParam().seed;
+    options.span = GetParam().span;
+    options.only = GetParam().only;
     options.senders = 10;
-    options.clients = 2;
     // A machine that builds and tests may stall; by hand the rules' own times hold.
     options.tolerance.finalAnswer = milliseconds(1500);
     options.tolerance.drainGrace = milliseconds(1000);
     options.tolerance.waitLetThrough = milliseconds(500);
     options.tolerance.keyWindow = milliseconds(700);
     options.tolerance.stop = milliseconds(5000);
+    options.tolerance.heardBeforeKill = milliseconds(500);
     options.tolerance.restart = milliseconds(3000);
     const auto report = play(options);
     EXPECT_TRUE(report.clean()) << text(options, report);
     EXPECT_GT(report.counts.delivered, 50u) << text(options, report);
-    EXPECT_GT(report.injected, 50u);
     EXPECT_GE(report.most, 3u);
+    if (options.only.empty()) {
+        EXPECT_GT(report.injected, 50u);
+    }
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, ShortSoak, testing::Values(11, 12, 13));
+// 12 has a crowd.
+INSTANTIATE_TEST_SUITE_P(Seeds, ShortSoak,
+                         testing::Values(Short{11, milliseconds(6000), {}}, Short{12, milliseconds(6000), {}},
+                                         Short{13, milliseconds(6000), {}}));
+// Restarts on end while partners have outages: with these kinds and seeds the program of issue 32 repeated
+// keyed messages outside their window.
+INSTANTIATE_TEST_SUITE_P(
+    RestartsInOutages, ShortSoak,
+    testing::Values(Short{21, milliseconds(8000), {Kind::kill, Kind::refuses, Kind::hangs}},
+                    Short{25, milliseconds(8000), {Kind::kill, Kind::refuses, Kind::hangs}}));
 
 // ---- the troubles ----
 
 TEST(Troubles, OneSeedDrawsTheSame) {
-    const Draw wanted{7, milliseconds(20000), 12, 4, {}};
+    const Draw wanted{9, milliseconds(20000), 12, 4, {}};
     const auto first = draw(wanted), second = draw(wanted);
     ASSERT_EQ(first.size(), second.size());
     std::set<Kind> kinds;
@@ -58,6 +79,30 @@
     EXPECT_EQ(kinds.size(), static_cast<std::size_t>(kKinds));
 }
 
+TEST(Troubles, OnlySomeRunsHaveACrowd) {
+    const auto crowded = [](std::uint64_t seed) {
+        const auto all = draw({seed, milliseconds(20000), 12, 4, {}});
+        return std::any_of(all.begin(), all.end(), [](const Trouble& t) { return t.kind == Kind::crowd; });
+    };
+    EXPECT_TRUE(crowded(9));
+    EXPECT_FALSE(crowded(10));
+    EXPECT_FALSE(crowded(11));
+}
+
+// Restarts of one sender on end, each soon after the one before: what one alone hides shows only then.
+TEST(Troubles, SomeRestartsComeOnEnd) {
+    const auto all = draw({9, milliseconds(20000), 12, 4, {}});
+    std::map<std::size_t, milliseconds> lastKill;
+    int onEnd = 0;
+    for (const auto& t : all) {
+        if (t.kind != Kind::kill && t.kind != Kind::series && t.kind != Kind::stop) continue;
+        const auto last = lastKill.find(t.target);
+        onEnd += last != lastKill.end() && t.at - last->second < milliseconds(2500);
+        lastKill[t.target] = t.at;
+    }
+    EXPECT_GT(onEnd, 20);
+}
+
 // ---- the oracle ----
 
 class OracleTest : public testing::Test {
@@ -119,6 +164,20 @@
     EXPECT_EQ(broken(), Rules{"drain"});
 }
 
+// What is told in the moment of a kill may never have been read; told again to the next life, it counts.
+TEST_F(OracleTest, CountsADrainFromWhenItWasSurelyHeard) {
+    const auto now = Steady::now();
+    hand("m", Effect::pure);
+    oracle_.toldEnd(1, "e", now - milliseconds(2000));
+    oracle_.down(1, now - milliseconds(1990), true, false);
+    oracle_.ready(1, now - milliseconds(1500));
+    call("m", false);
+    EXPECT_EQ(broken(), Rules{});
+    oracle_.toldEnd(1, "e", now - milliseconds(1000));
+    call("m", false);
+    EXPECT_EQ(broken(), Rules{"drain"});
+}
+
 TEST_F(OracleTest, SeesLostLateAndTwoEnds) {
     const auto now = Steady::now();
     hand("lost", Effect::pure, milliseconds(10));
@@ -143,6 +202,23 @@
     EXPECT_EQ(broken(), Rules{"unanswered"});
 }
 
+// On a kept connection a close may cross a request that nobody has read; one that was called had been read.
+TEST_F(OracleTest, SeesRequestsThatWereReadAndNeverAnswered) {
+    for (const char* id : {"crossed", "read", "killed"}) {
+        HandIn in = hand(id, Effect::pure);
+        in.sender = id == std::string("killed") ? 2 : 1;
+        oracle_.handed(in);
+    }
+    call("read");
+    call("killed");
+    oracle_.down(2, Steady::now(), true, false);
+    for (const char* id : {"crossed", "read", "killed"})
+        oracle_.unanswered(id, NoAnswer::closed, false, Steady::now());
+    oracle_.judge(Steady::now());
+    EXPECT_EQ(broken(), Rules{"unanswered"});
+    EXPECT_EQ(oracle_.violations().size(), 1u);
+}
+
 TEST_F(OracleTest, SeesCallsAfterAnEndAndEndsAfterADelivery) {
     hand("m", Effect::pure);
     const auto first = call("m", false);
