Owe a message to each hand-in that was told it is taken

The 'before' of a verdict only kept a second hand-in from withdrawing the first's.

Change: the facade counts the hand-ins that were told, or are being told, that a message is taken; a lost answer takes back one of them, and the message goes with the last.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -230,6 +230,7 @@
         const bool same = in.key == message.key && in.destination == message.destination &&
                           in.grade == message.grade && *in.body == *message.body;
         if (!same || it->second.over) return {Kind::conflict, {}};
+        ++it->second.handIns;
         return {Kind::taken, {}, true};  // the same request once more, on a new connection
     }
     if (message.deadline <= now) return refused("late", {});
@@ -456,6 +457,9 @@
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(id);
     if (stopped_ || it == held_.end() || it->second.over) return;
+    // Danger: its client may have sent it once more and been told that it is taken. It is owed to whichever
+    // hand-in was told so; an answer that was lost takes nothing back from another.
+    if (--it->second.handIns > 0) return;
     recordDone(id);
     it->second.over = true;
     if (!it->second.out) release(id);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -121,7 +121,7 @@
     void report(const std::vector<Standing>& standings);
     /// The platform knows these ends. Never waits: they are put on record with the next turn.
     void report(const std::vector<std::string>& noticed);
-    /// The client left before it heard that its message was taken.
+    /// A client left before it heard that its message was taken: one of the hand-ins that were told so.
     void withdraw(const std::string& id);
     /// What an earlier life left unfinished. Up to `healthKnownUntil` what that life had learnt of its
     /// partners' health was told by report() of standings; only later failures speak of it. The number of
@@ -172,6 +172,7 @@
             attempt;  // that has begun: it is on record, and may have gone out
         bool over = false;
         bool found = false;  // on record at the start: its time may have passed while nothing ran
+        int handIns = 1;     // that were told, or are just being told, that it is taken
         std::optional<Moment> mayHaveRunSince;  // when the first attempt that may have run was sent
         std::stop_source cancel;
     };
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -318,8 +318,8 @@
         case decisions::Verdict::Kind::taken: {
             const auto next = say(202, {}, "");
             // The client closed the connection: it may hand the message in again, and this one counts for
-            // nothing. One taken before is still its first hand-in's.
-            if (next == Next::close && !verdict.before) decisions_.withdraw(message.id);
+            // nothing.
+            if (next == Next::close) decisions_.withdraw(message.id);
             return next;
         }
         case decisions::Verdict::Kind::refused:
