End reads and writes when their time is up, by poll() instead of socket time limits

A call that hangs is given up at its message's deadline, and the end has 350 ms.

Change: net::receive(), sendAll() and discard() wait in poll() and read or write without blocking. Two calls to the system each, as before. Debug lines tell when an end is handed to the notices and what a post came to.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -617,6 +617,9 @@
     while (!untold_.empty() && (all || recorded || now >= untold_.front().tellBy)) {
         const auto notice = std::move(untold_.front().notice);
         untold_.pop_front();
+        (log::debug() << "end handed to the notices")
+            .kv("id", notice.id)
+            .kv("recorded", recorded ? "yes" : "no");
         if (hooks_.ended) hooks_.ended(notice);
     }
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -5,7 +5,6 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,17 +18,6 @@
 
 constexpr std::chrono::milliseconds kSocketPause{20};  // before a socket is asked for again
 
-/// Sets the time limit of the next call. False when none is left.
-bool limit(int fd, int option, Deadline until) {
-    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(until - Steady::now()).count();
-    if (left <= 0) return false;
-    timeval span{};
-    span.tv_sec = std::min<long>(left / 1000000, 3600);
-    span.tv_usec = left % 1000000;
-    setsockopt(fd, SOL_SOCKET, option, &span, sizeof span);
-    return true;
-}
-
 /// Waits for any of these events. False when the time is up first.
 bool ready(int fd, short events, Deadline until) {
     pollfd wait{fd, events, 0};
@@ -42,6 +30,8 @@
     }
 }
 
+bool wouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
 }  // namespace
 
 void Fd::reset() {
@@ -120,30 +110,33 @@
     return ntohs(at.sin_port);
 }
 
+// Danger: the kernel keeps limits set by SO_RCVTIMEO and SO_SNDTIMEO in coarse steps that grow with the span,
+// and ends a call up to an eighth of it late; the end of a message whose call hangs would come too late. A
+// wait in poll() ends in time.
 Io sendAll(int fd, std::string_view bytes, Deadline until) {
     while (!bytes.empty()) {
-        if (!limit(fd, SO_SNDTIMEO, until)) return Io::timedOut;
-        const auto sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (Steady::now() >= until) return Io::timedOut;
+        const auto sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent > 0) bytes.remove_prefix(static_cast<std::size_t>(sent));
-        else if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return Io::timedOut;
-        else if (sent < 0 && errno != EINTR) return Io::broken;
+        else if (sent < 0 && errno != EINTR && !wouldBlock()) return Io::broken;
+        else if (!ready(fd, POLLOUT, until)) return Io::timedOut;
     }
     return Io::done;
 }
 
 Io receive(int fd, std::string& into, Deadline until) {
     char bytes[4096];  // on the stack of each of many threads
-    for (;;) {
-        if (!limit(fd, SO_RCVTIMEO, until)) return Io::timedOut;
-        const auto got = recv(fd, bytes, sizeof bytes, 0);
+    while (Steady::now() < until) {
+        if (!waitReadable(fd, until)) return Io::timedOut;
+        const auto got = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
         if (got > 0) {
             into.append(bytes, static_cast<std::size_t>(got));
             return Io::done;
         }
         if (got == 0) return Io::closed;
-        if (errno == EAGAIN || errno == EWOULDBLOCK) return Io::timedOut;
-        if (errno != EINTR) return Io::broken;
+        if (errno != EINTR && !wouldBlock()) return Io::broken;
     }
+    return Io::timedOut;
 }
 
 bool waitReadable(int fd, Deadline until) { return ready(fd, POLLIN | POLLRDHUP, until); }
@@ -154,7 +147,7 @@
         const auto got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (got > 0) return Unread::bytes;
         if (got == 0) return Unread::end;
-        if (errno != EINTR) return errno == EAGAIN || errno == EWOULDBLOCK ? Unread::nothing : Unread::broken;
+        if (errno != EINTR) return wouldBlock() ? Unread::nothing : Unread::broken;
     }
 }
 
@@ -164,11 +157,11 @@
 }
 
 void discard(int fd, std::size_t most, Deadline until) {
-    for (std::size_t all = 0; all < most;) {
-        if (!limit(fd, SO_RCVTIMEO, until)) return;
-        const auto got = recv(fd, nullptr, 1 << 20, MSG_TRUNC);
+    for (std::size_t all = 0; all < most && Steady::now() < until;) {
+        if (!waitReadable(fd, until)) return;
+        const auto got = recv(fd, nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT);
         if (got > 0) all += static_cast<std::size_t>(got);
-        else if (got == 0 || errno != EINTR) return;
+        else if (got == 0 || (errno != EINTR && !wouldBlock())) return;
     }
 }
 
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -69,7 +69,12 @@
         const auto place = discovery_.place();
         const Answer answer = post(place, body);
         static constexpr std::array<std::string_view, 4> kAnswers{"heard", "unreadable", "none", "local"};
-        metrics::counter("notice_posts_total", "answer", kAnswers[static_cast<std::size_t>(answer)]).add();
+        const auto word = kAnswers[static_cast<std::size_t>(answer)];
+        metrics::counter("notice_posts_total", "answer", word).add();
+        (log::debug() << "notices posted")
+            .kv("answer", word)
+            .kv("first", ids.front())
+            .kv("count", ids.size());
         if (answer == Answer::unreadable && ids.size() > 1) {
             oneByOne_ = true;  // one bad line must not hold up the others
             continue;
