Show a drain that is written a second late after a failed write (a test, red)

Roster::run() lets word of deliveries gather for up to 1 s, whatever else is due meanwhile. Ruled out: a write that succeeded between (the list on disk is the old one), the clock's anchor (messages are taken just then).

No code is touched.

--- a/tests/roster/drain_memory_test.cpp
+++ b/tests/roster/drain_memory_test.cpp
@@ -97,6 +97,39 @@
     facade.stop();
 }
 
+// Word of deliveries gathers for a moment before it is taken in; a write that is due does not wait for that.
+TEST(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonThoughWordOfDeliveriesGathers) {
+    log::setLevel(log::Level::off);
+    const check::Folder folder;
+    check::NoStore store;
+    const auto config = configFor(folder.path);
+    decisions::Decisions facade(config, store, {});
+    roster::Options options;
+    options.writeEvery = std::chrono::seconds(20);
+    roster::Roster roster(config, options, facade);
+    roster.begin();
+    roster.start();
+    const auto serving = endpoint("b", 8, listing::Status::serving);
+    const auto path = folder.path + "/endpoints.list";
+    faults::writeFailure.arm(ENOSPC);
+    roster.heard({10, true, {serving}});
+    ASSERT_FALSE(std::filesystem::exists(path));
+    decisions::Call call;
+    call.endpoint = serving.name;
+    call.address = serving.address;
+    decisions::Result delivered;
+    delivered.ending = decisions::Ending::delivered;
+    roster.answered(call, delivered);
+    const auto begun = decisions::Steady::now();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));  // its thread has begun to gather by then
+    faults::writeFailure.disarm();
+    while (!std::filesystem::exists(path) && decisions::Steady::now() < begun + std::chrono::seconds(10))
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    EXPECT_TRUE(std::filesystem::exists(path));
+    EXPECT_LT(decisions::Steady::now() - begun, std::chrono::milliseconds(700)) << "it waited for the word";
+    facade.stop();
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, DrainMemory,
                          testing::Values(listing::Status::draining, listing::Status::deleted),
                          [](const auto& status) {
