--- a/src/main.cpp
+++ b/src/main.cpp
@@ -181,7 +181,12 @@
     roster.stop();
     delivery.stop();
     // What was heard to the very end belongs on record, though the disk fails just now.
-    while (!decisions.flushRecords() && since() < kRecord) std::this_thread::sleep_for(kLook);
+    const auto allWritten = [&] {
+        const bool messages = decisions.flushRecords();
+        const bool endpoints = roster.flush();
+        return messages && endpoints;
+    };
+    while (!allWritten() && since() < kRecord) std::this_thread::sleep_for(kLook);
     capture.stop();
     if (const auto c = capture.counts(); own.capture.enabled)
         (log::info() << "capture: stopped")
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -135,6 +135,12 @@
     begun_ = false;
 }
 
+bool Roster::flush() {
+    const std::lock_guard lock(work_);
+    if (file_ && writeAt_ != Steady::time_point{}) write(recordClock_.now());
+    return writeAt_ == Steady::time_point{};
+}
+
 // ---- judging and offering ----
 
 void Roster::judge(membership::Entry& entry, RecordMs now, std::vector<listing::Endpoint>& news) {
@@ -562,9 +568,10 @@
             std::unique_lock lock(inbox_);
             if (next == Steady::time_point::max()) next = Steady::now() + std::chrono::hours(1);
             wake_.wait_until(lock, stopped, next, [&] { return urgent_ || !word_.empty(); });
-            // Word of deliveries may gather for a moment; what is urgent may not.
+            // Word of deliveries may gather for a moment; what is urgent or due may not.
             if (!urgent_ && !word_.empty())
-                wake_.wait_until(lock, stopped, Steady::now() + kNotice, [&] { return urgent_; });
+                wake_.wait_until(lock, stopped, std::min(next, Steady::now() + kNotice),
+                                 [&] { return urgent_; });
             urgent_ = false;
             word.swap(word_);
         }
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -53,6 +53,8 @@
     void start();
     /// Writes what is not yet written.
     void stop();
+    /// Tries once more to write what stop() could not. True when nothing is left to write.
+    bool flush();
 
     // -- from the watch --
     membership::Heard heard(const listing::Listing& list);
