--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -203,6 +203,49 @@
     return attempts;
 }
 
+/// What a record says of an attempt, or of a call that made none.
+struct AttemptRecord {
+    std::string id;
+    AttemptNumber number = 0;
+    RecordMs at = 0;
+    AttemptOutcome outcome;
+};
+
+AttemptRecord readAttempt(char type, Reader& in) {
+    AttemptRecord record;
+    record.id = in.text();
+    if (type == kBegin || type == kNeverLeft || type == kSettled) record.number = in.number<AttemptNumber>();
+    if (type == kBegin || type == kBeginWithoutNumber || type == kFailed) record.at = in.number<RecordMs>();
+    if (type == kSettled || type == kSettledWithoutNumber) {
+        record.outcome.mayHaveRun = in.number<int>() != 0;
+        record.outcome.failed = in.number<int>() != 0;
+    }
+    return record;
+}
+
+/// Danger: an earlier version wrote the failure of a connect, which had made no attempt, like the outcome of
+/// one that surely did not run. Where an attempt was open then, it may be either; so it may have run.
+void settleWithoutNumber(AttemptHistory& attempts, AttemptOutcome outcome) {
+    if (const auto open = attempts.open()) {
+        outcome.mayHaveRun = outcome.mayHaveRun || outcome.failed;
+        attempts.settle(*open, outcome);
+    } else if (outcome.failed) {
+        attempts.failWithoutAttempt(attempts.state().sentAt);
+    }
+}
+
+void applyTo(AttemptHistory& attempts, char type, const AttemptRecord& record) {
+    switch (type) {
+        case kBegin: return attempts.begin(record.number, record.at);
+        case kNeverLeft: return void(attempts.neverLeft(record.number));
+        case kSettled: return void(attempts.settle(record.number, record.outcome));
+        case kFailed: return attempts.failWithoutAttempt(record.at);
+        case kBeginWithoutNumber: return attempts.begin(attempts.next(), record.at);
+        case kNeverLeftWithoutNumber: return void(attempts.neverLeft(attempts.open().value_or(0)));
+        default: return settleWithoutNumber(attempts, record.outcome);
+    }
+}
+
 }  // namespace
 
 /// Brings what is alive up to a record, written just now or read back.
@@ -217,10 +260,10 @@
         case kBegin:
         case kNeverLeft:
         case kSettled:
-        case kFailed: known = applyAttempt(type, in); break;
+        case kFailed:
         case kBeginWithoutNumber:
         case kNeverLeftWithoutNumber:
-        case kSettledWithoutNumber: known = applyAttemptWithoutNumber(type, in); break;
+        case kSettledWithoutNumber: known = applyAttempt(type, in); break;
         case kDone:
         case kEnded:
         case kNoticed: known = applyEnd(type, in); break;
@@ -254,52 +297,9 @@
 }
 
 bool Journal::applyAttempt(char type, Reader& in) {
-    const auto id = in.text();
-    const auto number = type == kFailed ? AttemptNumber{} : in.number<AttemptNumber>();
-    const auto when = type == kBegin || type == kFailed ? in.number<RecordMs>() : RecordMs{};
-    AttemptOutcome outcome;
-    if (type == kSettled) {
-        outcome.mayHaveRun = in.number<int>() != 0;
-        outcome.failed = in.number<int>() != 0;
-    }
-    if (!in.whole()) return false;
-    Taken* found = message(id);
-    if (!found) return true;
-    auto& attempts = found->attempts;
-    switch (type) {
-        case kBegin: attempts.begin(number, when); break;
-        case kNeverLeft: attempts.neverLeft(number); break;
-        case kSettled: attempts.settle(number, outcome); break;
-        default: attempts.failWithoutAttempt(when);
-    }
-    return true;
-}
-
-/// Danger: an earlier version wrote the failure of a connect, which had made no attempt, like the outcome of
-/// one that surely did not run. Where an attempt was open then, it may be either; so it may have run.
-bool Journal::applyAttemptWithoutNumber(char type, Reader& in) {
-    const auto id = in.text();
-    const auto when = type == kBeginWithoutNumber ? in.number<RecordMs>() : RecordMs{};
-    AttemptOutcome outcome;
-    if (type == kSettledWithoutNumber) {
-        outcome.mayHaveRun = in.number<int>() != 0;
-        outcome.failed = in.number<int>() != 0;
-    }
+    const auto record = readAttempt(type, in);
     if (!in.whole()) return false;
-    Taken* found = message(id);
-    if (!found) return true;
-    auto& attempts = found->attempts;
-    const auto open = attempts.open();
-    if (type == kBeginWithoutNumber) {
-        attempts.begin(attempts.next(), when);
-    } else if (type == kNeverLeftWithoutNumber) {
-        if (open) attempts.neverLeft(*open);
-    } else if (open) {
-        outcome.mayHaveRun = outcome.mayHaveRun || outcome.failed;
-        attempts.settle(*open, outcome);
-    } else if (outcome.failed) {
-        attempts.failWithoutAttempt(attempts.state().sentAt);
-    }
+    if (Taken* found = message(record.id)) applyTo(found->attempts, type, record);
     return true;
 }
 
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -69,7 +69,6 @@
     void apply(std::string_view payload);
     bool applyTake(char type, Reader& in);
     bool applyAttempt(char type, Reader& in);
-    bool applyAttemptWithoutNumber(char type, Reader& in);
     bool applyEnd(char type, Reader& in);
     /// The message of that id that is not over; null where there is none.
     Taken* message(const std::string& id);
