Count a told wait from before its answer is written, in the soak's oracle

The stand-in noted the wait behind the write, 3 ms after the sender had heard it.

Change: the wait counts from the moment before the write; a sender can hear it no sooner.

--- a/lab/soak/oracle.cpp
+++ b/lab/soak/oracle.cpp
@@ -188,13 +188,12 @@
     }
 }
 
-void Oracle::toldWait(std::uint64_t number, milliseconds span) {
+void Oracle::toldWait(std::uint64_t number, milliseconds span, Moment at) {
     const std::lock_guard lock(mutex_);
     const Call& call = calls_[number];
-    const auto now = Steady::now();
     Wait& wait = waits_[{call.sender, call.destination}];
-    if (now >= wait.until) wait = {now, now + span};
-    else wait.until = std::max(wait.until, now + span);
+    if (at >= wait.until) wait = {at, at + span};
+    else wait.until = std::max(wait.until, at + span);
 }
 
 void Oracle::surelyHeard(std::uint64_t number) {
--- a/lab/soak/oracle.hpp
+++ b/lab/soak/oracle.hpp
@@ -95,8 +95,8 @@
                             const std::string& endpoint, std::uint64_t destination,
                             std::function<bool()> open);
     void callEnded(std::uint64_t call, CallEnd end);
-    /// Its answer, which tells a wait, has been written.
-    void toldWait(std::uint64_t call, milliseconds wait);
+    /// Its answer, which tells a wait, has been written, no sooner than at that moment.
+    void toldWait(std::uint64_t call, milliseconds wait, Moment at);
     /// The connection stood for a while behind a 200: its sender has not given the call up just then.
     void surelyHeard(std::uint64_t call);
 
--- a/lab/soak/partner.cpp
+++ b/lab/soak/partner.cpp
@@ -80,8 +80,9 @@
     char seconds[16];
     std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(wait.count()) / 1000);
     oracle_.callEnded(call, CallEnd::neverRan);
+    const auto writtenFrom = Steady::now();
     const bool written = connection.send(http::response(429, {{"Retry-After", seconds}}, "", true));
-    oracle_.toldWait(call, wait);
+    oracle_.toldWait(call, wait, writtenFrom);
     return written;
 }
 
