Tell a client without room so though system calls are interrupted

Change: turnAway() writes its answer by net::sendAll() within 5 ms and drops what has come by net::discardUnread(), which goes on after EINTR. net::waits() asks again after EINTR; it took that for an empty queue at a stop.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -25,6 +25,7 @@
 // answered or shut this long after connecting, or after its next request's first byte.
 constexpr milliseconds kRead{2000};
 constexpr milliseconds kWrite{1000};
+constexpr milliseconds kTurnAway{5};  // an empty buffer takes an answer at once
 constexpr milliseconds kIdle{10000};
 constexpr milliseconds kQueue{400};  // for what a listener has in its queue at a stop
 constexpr milliseconds kLast{300};   // for a last request, or the rest of one, at a stop
@@ -48,10 +49,9 @@
     static auto& turnedAway = metrics::counter("connections_turned_away_total");
     turnedAway.add();
     static const auto text = http::response(503, {{"Retry-After", kComeAgain}}, "no room\n", false);
-    send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    net::sendAll(fd.get(), text, net::Steady::now() + kTurnAway);
     net::shutWriting(fd.get());
-    while (recv(fd.get(), nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT) > 0) {
-    }
+    net::discardUnread(fd.get(), kMostDrained);
 }
 
 }  // namespace
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -153,7 +153,11 @@
 
 bool waits(int listener) {
     pollfd look{listener, POLLIN, 0};
-    return poll(&look, 1, 0) > 0;
+    int found = -1;
+    do {
+        found = poll(&look, 1, 0);
+    } while (found < 0 && errno == EINTR);
+    return found > 0;
 }
 
 void discard(int fd, std::size_t most, Deadline until) {
@@ -165,6 +169,14 @@
     }
 }
 
+void discardUnread(int fd, std::size_t most) {
+    for (std::size_t all = 0; all < most;) {
+        const auto got = recv(fd, nullptr, 1 << 20, MSG_TRUNC | MSG_DONTWAIT);
+        if (got > 0) all += static_cast<std::size_t>(got);
+        else if (got == 0 || errno != EINTR) return;
+    }
+}
+
 void shut(int fd) { shutdown(fd, SHUT_RDWR); }
 void shutReading(int fd) { shutdown(fd, SHUT_RD); }
 void shutWriting(int fd) { shutdown(fd, SHUT_WR); }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -88,6 +88,8 @@
 /// Reads and drops what comes, at no cost of copying, until the other side ends, the time is up or so many
 /// bytes have gone by.
 void discard(int fd, std::size_t most, Deadline until);
+/// Drops what has come already, up to so many bytes, and waits for nothing.
+void discardUnread(int fd, std::size_t most);
 /// Ends sending and receiving, from any thread; the descriptor stays open.
 void shut(int fd);
 void shutReading(int fd);
