--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -44,17 +44,23 @@
     else all.gauges.erase(key);
 }
 
+// Danger: a gauge takes the lock of its owner, who counts under that very lock. Read with the counters
+// locked, the two would wait for each other for good.
 std::string text() {
     std::ostringstream out;
     Registry& all = registry();
-    const std::lock_guard lock(all.mutex);
-    std::string_view last;
-    for (const auto& [series, counter] : all.counters) {
-        if (family(series) != last) out << "# TYPE " << family(series) << " counter\n";
-        last = family(series);
-        out << series << ' ' << counter->value() << '\n';
+    std::map<std::string, std::function<double()>, std::less<>> gauges;
+    {
+        const std::lock_guard lock(all.mutex);
+        std::string_view last;
+        for (const auto& [series, counter] : all.counters) {
+            if (family(series) != last) out << "# TYPE " << family(series) << " counter\n";
+            last = family(series);
+            out << series << ' ' << counter->value() << '\n';
+        }
+        gauges = all.gauges;
     }
-    for (const auto& [name, read] : all.gauges)
+    for (const auto& [name, read] : gauges)
         out << "# TYPE " << name << " gauge\n" << name << ' ' << read() << '\n';
     return out.str();
 }
