Put all that the facade records into one module, which counts what belongs to nothing

Need: the rule own_outcome is kept in one place, and decisions.cpp had grown by it.

Change: decisions/recorder tells the store what became of attempts and messages, and counts violations; the facade calls it. Behaviour is the same.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -92,11 +92,11 @@
 Decisions::Decisions(const config::Config& config, store::Store& store, Hooks hooks,
                      clock::RecordClock& recordClock)
     : config_(config),
-      store_(store),
       hooks_(std::move(hooks)),
       recordClock_(recordClock),
       sender_(config.settings, config.seed),
-      sendRules_({config.drainGrace, config.settings.maxAttempts}, violations_) {}
+      sendRules_({config.drainGrace, config.settings.maxAttempts}, violations_),
+      recorder_(store, recordClock, violations_) {}
 
 // ---- pick ----
 
@@ -137,13 +137,13 @@
             .kv("reason", rules::name(refusal));
         return false;
     }
-    held.attempt = store_.beginAttempt(call.id, recordClock_.now());
+    held.attempt = recorder_.begin(call.id);
     // The record may have taken its time.
     if (held.attempt && sendRules_.check(attempt, Steady::now()) == rules::Refusal::none) {
         logBegun(held, call);
         return true;
     }
-    recordNeverLeft(held, call.id);
+    takeBack(held, call.id);
     return false;
 }
 
@@ -168,38 +168,14 @@
     const std::lock_guard lock(mutex_);
     const auto it = held_.find(call.id);
     if (it == held_.end() || !it->second.attempt || it->second.attempts != call.attempt + 1) return;
-    recordNeverLeft(it->second, call.id);
+    takeBack(it->second, call.id);
 }
 
-// ---- the record ----
-
-// Danger: what is recorded of one attempt must not settle another. An attempt of an earlier life has no
-// outcome and never gets one; a call of this life whose connect failed has made no attempt. Taken for the
-// outcome of the earlier one, its failure would make a message that may have run one that never did, and the
-// next life would repeat it outside its key's window. So each record names its attempt, and one that names
-// none that is open is passed over and counted.
-void Decisions::recordOutcome(Held& held, const Call& call, const Result& result) {
-    const store::AttemptOutcome outcome{mayHaveRun(result.ending), failed(result.ending)};
-    const auto attempt = std::exchange(held.attempt, std::nullopt);
-    if (attempt) {
-        if (!store_.settle(call.id, *attempt, outcome))
-            violations_.count(rules::Rule::ownOutcome, call.id, "an outcome of an attempt that is not open");
-        return;
-    }
-    if (outcome.mayHaveRun) violations_.count(rules::Rule::record, call.id, "ran, and not on record");
-    if (outcome.failed && !store_.failWithoutAttempt(call.id, recordClock_.now()))
-        violations_.count(rules::Rule::ownOutcome, call.id, "a failure of a message that is over");
-}
-
-void Decisions::recordNeverLeft(Held& held, const std::string& id) {
+/// The attempt that is on record, if any, never left.
+void Decisions::takeBack(Held& held, const std::string& id) {
     sendRules_.end(id);
     const auto attempt = std::exchange(held.attempt, std::nullopt);
-    if (attempt && !held.over && !store_.neverLeft(id, *attempt))
-        violations_.count(rules::Rule::ownOutcome, id, "an attempt that never left and is not open");
-}
-
-void Decisions::recordDone(const std::string& id) {
-    if (!store_.done(id)) violations_.count(rules::Rule::ownOutcome, id, "done, and not owed");
+    if (!held.over) recorder_.neverLeft(id, attempt);
 }
 
 // ---- report ----
@@ -250,8 +226,7 @@
     record.deadline =
         recordClock_.now() + std::chrono::duration_cast<milliseconds>(message.deadline - now).count();
     record.body = message.body;
-    // Without the clock's anchor on disk a later life could not tell what the deadline means.
-    const bool stored = recordClock_.persist() && store_.take(record);
+    const bool stored = recorder_.take(record);
     if (stored == noRoom_) {
         noRoom_ = !stored;
         if (noRoom_) log::warning() << "no room in the store at " << held_.size() << " messages held";
@@ -290,10 +265,11 @@
     // was delivered, and give up for nothing what surely never ran. What the stop itself called off has no
     // outcome.
     const bool unheard = stopped_ && result.ending == Ending::cancelled;
-    if (over && !held.over) recordDone(call.id);
-    else if (!held.over && !unheard) recordOutcome(held, call, result);
+    const auto attempt = std::exchange(held.attempt, std::nullopt);
+    if (over && !held.over) recorder_.done(call.id);
+    else if (!held.over && !unheard)
+        recorder_.outcome(call.id, attempt, {mayHaveRun(result.ending), failed(result.ending)});
     if (mayHaveRun(result.ending) && !held.mayHaveRunSince) held.mayHaveRunSince = call.issued;
-    held.attempt.reset();
     if (stopped_) {  // nothing is decided any more
         if (over || held.over) release(call.id);
         return;
@@ -439,7 +415,7 @@
     const std::unique_lock lock(mutex_, std::try_to_lock);
     if (!lock) return;  // whoever holds it puts them on record before it lets go, or the next turn does
     recordNoticed();
-    if (store_.behind()) wake_.notify_one();
+    if (recorder_.behind()) wake_.notify_one();
 }
 
 void Decisions::recordNoticed() {
@@ -448,9 +424,7 @@
         const std::lock_guard lock(noticedMutex_);
         noticed.swap(noticed_);
     }
-    for (const auto& id : noticed)
-        if (!store_.noticed(id))
-            violations_.count(rules::Rule::ownOutcome, id, "its end is known, and it has not ended");
+    for (const auto& id : noticed) recorder_.noticed(id);
 }
 
 void Decisions::withdraw(const std::string& id) {
@@ -460,7 +434,7 @@
     // Danger: its client may have sent it once more and been told that it is taken. It is owed to whichever
     // hand-in was told so; an answer that was lost takes nothing back from another.
     if (--it->second.handIns > 0) return;
-    recordDone(id);
+    recorder_.done(id);
     it->second.over = true;
     if (!it->second.out) release(id);
     turn({{stoathub::ClientGone{id}}});
@@ -503,7 +477,7 @@
     std::unique_lock lock(mutex_);
     while (!stopped_) {
         const auto now = Steady::now();
-        const bool behind = !store_.flush();
+        const bool behind = !recorder_.flush();
         tellEnds(false);
         const auto next = std::min(wakeAt_.value_or(Moment::max()), behind ? now + kFlush : Moment::max());
         if (next == Moment::max()) {
@@ -564,7 +538,7 @@
             const auto after = wholeMs(refuse->retryIn);
             if (own && refuse->id == *ownId) {
                 *own = refused("module", after.count() > 0 ? after : kFullAfter);
-                recordDone(refuse->id);
+                recorder_.done(refuse->id);
                 release(refuse->id);
             } else {
                 conclude(refuse->id, {refuse->id, store::End::returned, after.count()});
@@ -572,7 +546,7 @@
         } else if (const auto* fail = std::get_if<stoathub::Fail>(&action)) {
             if (own && fail->id == *ownId) {
                 *own = {Verdict::Kind::failed, {}};
-                recordDone(fail->id);
+                recorder_.done(fail->id);
                 release(fail->id);
             } else {
                 conclude(fail->id, {fail->id, store::End::failed, 0});
@@ -589,7 +563,7 @@
         // Follow has no place on sockets: the watch always runs.
     }
     recordNoticed();
-    if (store_.behind()) wake_.notify_one();
+    if (recorder_.behind()) wake_.notify_one();
 }
 
 void Decisions::conclude(const std::string& id, const store::Owed& notice) {
@@ -602,7 +576,7 @@
     const char* state = notice.end == store::End::failed ? "failed" : "returned";
     metrics::counter("ends_total", "state", state).add();
     (log::debug() << "ended undelivered").kv("id", id).kv("state", state).kv("after_ms", notice.afterMs);
-    if (!store_.ended(notice)) violations_.count(rules::Rule::ownOutcome, id, "an end of what is not owed");
+    recorder_.ended(notice);
     if (it->second.out) it->second.over = true;
     else release(id);
     untold_.push_back({notice, Steady::now() + kTellUnrecorded});
@@ -612,7 +586,7 @@
 // Danger: an end that is told and not on record would be decided once more by the next life, and perhaps
 // otherwise. So it is on record first; but where the store can't write, it does not wait for long.
 void Decisions::tellEnds(bool all) {
-    const bool recorded = !store_.behind();
+    const bool recorded = !recorder_.behind();
     const auto now = Steady::now();
     while (!untold_.empty() && (all || recorded || now >= untold_.front().tellBy)) {
         const auto notice = std::move(untold_.front().notice);
@@ -646,7 +620,7 @@
 void Decisions::stop() {
     const std::lock_guard lock(mutex_);
     dropDue();
-    store_.flush();
+    recorder_.flush();
     tellEnds(true);
     stopped_ = true;
     for (auto& [id, held] : held_)
@@ -658,7 +632,7 @@
 bool Decisions::flushRecords() {
     const std::lock_guard lock(mutex_);
     recordNoticed();
-    return store_.flush();
+    return recorder_.flush();
 }
 
 Decisions::Counts Decisions::counts() const {
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -18,6 +18,7 @@
 
 #include "clock/record_clock.hpp"
 #include "config/config.hpp"
+#include "decisions/recorder.hpp"
 #include "listing/listing.hpp"
 #include "rules/send_rules.hpp"
 #include "store/store.hpp"
@@ -190,9 +191,7 @@
     bool holds(const Held& held, const Call& call) const;
     rules::Attempt attemptOf(const Call& call) const;
     static void logBegun(const Held& held, const Call& call);
-    void recordOutcome(Held& held, const Call& call, const Result& result);
-    void recordNeverLeft(Held& held, const std::string& id);
-    void recordDone(const std::string& id);
+    void takeBack(Held& held, const std::string& id);
     void recordNoticed();
     void tellEnds(bool all);
     void forget(Moment now);
@@ -200,7 +199,6 @@
     void wakeAt(Moment at);
 
     const config::Config& config_;
-    store::Store& store_;
     Hooks hooks_;
     clock::RecordClock& recordClock_;
     mutable std::mutex mutex_;
@@ -208,6 +206,7 @@
     stoathub::Sender sender_;
     rules::Violations violations_;
     rules::SendRules sendRules_;
+    Recorder recorder_;
     /// Ends that are not on record yet, as the store is behind, and when they are told all the same.
     struct Untold {
         store::Owed notice;
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -129,7 +129,11 @@
     CHECK(rig.hand("m", milliseconds(20000), 7, "other").kind == Kind::conflict);
     const auto call = rig.facade.pick();
     CHECK(*call->body == "body" && rig.facade.begin(*call));
+    // It was handed in twice, and told so: it is owed until neither of the two may have heard that.
     rig.facade.withdraw("m");
+    CHECK(rig.memory.live.size() == 1);
+    rig.facade.withdraw("m");
+    CHECK(rig.memory.live.empty());
     CHECK(rig.hand("m").kind == Kind::conflict);  // over, but its call is still out
 }
 
