Name the short soaks by their seeds and kinds

Need: their names in ctest were bytes of the parameter, a pointer among them. Change: an output operator.

--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <ostream>
 #include <set>
 
 #include "check.hpp"
@@ -24,6 +25,13 @@
     std::vector<Kind> only;
 };
 
+/// For the test's name.
+std::ostream& operator<<(std::ostream& out, const Short& its) {
+    out << "seed " << its.seed;
+    for (const auto kind : its.only) out << ' ' << name(kind);
+    return out;
+}
+
 class ShortSoak : public testing::TestWithParam<Short> {};
 
 TEST_P(ShortSoak, NoRuleIsBroken) {
