Let tests of the roster share their set-up

Need: read once more, two tests each of the roster and of the drains' memory spelled the same set-up.

Change: a fixture each; the tests keep their names and assertions. The log of the one that showed errors is off, as in the others.

--- a/tests/roster/drain_memory_test.cpp
+++ b/tests/roster/drain_memory_test.cpp
@@ -74,60 +74,60 @@
     facade.stop();
 }
 
+/// A roster that writes seldom, unless a write fails.
+class DrainMemoryOnAFailingDisk : public testing::Test {
+  protected:
+    DrainMemoryOnAFailingDisk() {
+        log::setLevel(log::Level::off);
+        roster_.begin();
+        roster_.start();
+    }
+    ~DrainMemoryOnAFailingDisk() override { facade_.stop(); }
+    static roster::Options options() {
+        roster::Options options;
+        options.writeEvery = std::chrono::seconds(20);
+        return options;
+    }
+    bool written() const { return std::filesystem::exists(folder_.path + "/endpoints.list"); }
+
+    const check::Folder folder_;
+    check::NoStore store_;
+    const config::Config config_ = configFor(folder_.path);
+    decisions::Decisions facade_{config_, store_, {}};
+    roster::Roster roster_{config_, options(), facade_};
+};
+
 // A write that fails is repeated at once, not when the next one is due.
-TEST(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonAfterWritesSucceed) {
-    log::setLevel(log::Level::off);
-    const check::Folder folder;
-    check::NoStore store;
-    const auto config = configFor(folder.path);
-    decisions::Decisions facade(config, store, {});
-    roster::Options options;
-    options.writeEvery = std::chrono::seconds(20);
-    roster::Roster roster(config, options, facade);
-    roster.begin();
-    roster.start();
+TEST_F(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonAfterWritesSucceed) {
     faults::writeFailure.arm(ENOSPC);
-    roster.heard({10, true, {endpoint("b", 8, listing::Status::serving)}});
-    EXPECT_FALSE(std::filesystem::exists(folder.path + "/endpoints.list"));
+    roster_.heard({10, true, {endpoint("b", 8, listing::Status::serving)}});
+    EXPECT_FALSE(written());
     faults::writeFailure.disarm();
     const auto until = decisions::Steady::now() + std::chrono::seconds(10);
-    while (!std::filesystem::exists(folder.path + "/endpoints.list") && decisions::Steady::now() < until)
+    while (!written() && decisions::Steady::now() < until)
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    EXPECT_TRUE(std::filesystem::exists(folder.path + "/endpoints.list"));
-    facade.stop();
+    EXPECT_TRUE(written());
 }
 
 // Word of deliveries gathers for a moment before it is taken in; a write that is due does not wait for that.
-TEST(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonThoughWordOfDeliveriesGathers) {
-    log::setLevel(log::Level::off);
-    const check::Folder folder;
-    check::NoStore store;
-    const auto config = configFor(folder.path);
-    decisions::Decisions facade(config, store, {});
-    roster::Options options;
-    options.writeEvery = std::chrono::seconds(20);
-    roster::Roster roster(config, options, facade);
-    roster.begin();
-    roster.start();
+TEST_F(DrainMemoryOnAFailingDisk, ADrainIsOnDiskSoonThoughWordOfDeliveriesGathers) {
     const auto serving = endpoint("b", 8, listing::Status::serving);
-    const auto path = folder.path + "/endpoints.list";
     faults::writeFailure.arm(ENOSPC);
-    roster.heard({10, true, {serving}});
-    ASSERT_FALSE(std::filesystem::exists(path));
+    roster_.heard({10, true, {serving}});
+    ASSERT_FALSE(written());
     decisions::Call call;
     call.endpoint = serving.name;
     call.address = serving.address;
     decisions::Result delivered;
     delivered.ending = decisions::Ending::delivered;
-    roster.answered(call, delivered);
+    roster_.answered(call, delivered);
     const auto begun = decisions::Steady::now();
     std::this_thread::sleep_for(std::chrono::milliseconds(20));  // its thread has begun to gather by then
     faults::writeFailure.disarm();
-    while (!std::filesystem::exists(path) && decisions::Steady::now() < begun + std::chrono::seconds(10))
+    while (!written() && decisions::Steady::now() < begun + std::chrono::seconds(10))
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    EXPECT_TRUE(std::filesystem::exists(path));
+    EXPECT_TRUE(written());
     EXPECT_LT(decisions::Steady::now() - begun, std::chrono::milliseconds(700)) << "it waited for the word";
-    facade.stop();
 }
 
 INSTANTIATE_TEST_SUITE_P(Kinds, DrainMemory,
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -18,20 +18,31 @@
     return {name, "127.0.0.1:" + std::to_string(1000 + i), "z", "big", 7, status, 4, 0};
 }
 
+/// A facade, and what a roster before it wants.
+class Roster : public testing::Test {
+  protected:
+    Roster() { log::setLevel(log::Level::off); }
+    /// Nothing is kept, and nothing probed: the roster knows what it is told.
+    static roster::Options seenOnly() {
+        roster::Options options;
+        options.keep = options.probe = false;
+        return options;
+    }
+
+    const check::Folder folder_;
+    const config::Config config_ =
+        config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "", check::settings()),
+                         {{"BALANCER_STATE", folder_.path}});
+    check::NoStore store_;
+    decisions::Decisions facade_{config_, store_, {}};
+};
+
 // Danger: where fleets drain endpoints and never delete them, each would stay in the facade's tables for
 // good.
-TEST(Roster, WhatDrainedAndWasNeverDeletedLeavesTheFacadeWithItsTombstone) {
-    log::setLevel(log::Level::error);
-    const check::Folder folder;
-    const auto config =
-        config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "", check::settings()),
-                         {{"BALANCER_STATE", folder.path}});
-    check::NoStore store;
-    decisions::Decisions facade(config, store, {});
-    roster::Options options;
-    options.keep = options.probe = false;
+TEST_F(Roster, WhatDrainedAndWasNeverDeletedLeavesTheFacadeWithItsTombstone) {
+    auto options = seenOnly();
     options.membership.tombstones = 2;
-    roster::Roster roster(config, options, facade);
+    roster::Roster roster(config_, options, facade_);
     roster.begin();
     constexpr int kDrained = 6;
     listing::Listing all{10, true, {endpoint("stays", 0, listing::Status::serving)}};
@@ -42,27 +53,19 @@
         drained.endpoints.push_back(endpoint(name, i, listing::Status::draining));
     }
     roster.heard(all);
-    EXPECT_EQ(facade.counts().endpoints, kDrained + 1u);
+    EXPECT_EQ(facade_.counts().endpoints, kDrained + 1u);
     roster.heard(drained);
-    EXPECT_EQ(facade.counts().endpoints, kDrained + 1u);
+    EXPECT_EQ(facade_.counts().endpoints, kDrained + 1u);
     roster.heard({12, true, {endpoint("stays", 0, listing::Status::serving)}});
-    EXPECT_EQ(facade.counts().endpoints, 1 + options.membership.tombstones);
-    EXPECT_EQ(facade.counts().destinations, 1u);
+    EXPECT_EQ(facade_.counts().endpoints, 1 + options.membership.tombstones);
+    EXPECT_EQ(facade_.counts().destinations, 1u);
 }
 
 // Danger: a call may be out while the list moves its endpoint. Whoever answers like a stranger at the old
 // address is one; the endpoint at its new address is not.
-TEST(Roster, AnAnswerFromAnEndpointsOldAddressSaysNothingOfItsNewOne) {
-    log::setLevel(log::Level::off);
-    const check::Folder folder;
-    const auto config =
-        config::fromText(check::configuration("127.0.0.1:0", "127.0.0.1:1", "", check::settings()),
-                         {{"BALANCER_STATE", folder.path}});
-    check::NoStore store;
-    decisions::Decisions facade(config, store, {});
-    roster::Options options;
-    options.keep = options.probe = false;
-    roster::Roster roster(config, options, facade);
+TEST_F(Roster, AnAnswerFromAnEndpointsOldAddressSaysNothingOfItsNewOne) {
+    const auto options = seenOnly();
+    roster::Roster roster(config_, options, facade_);
     roster.begin();
     roster.start();
     const auto serving = listing::Status::serving;
