--- a/src/store/attempt_history.hpp
+++ b/src/store/attempt_history.hpp
@@ -31,7 +31,6 @@
         RecordMs sentAt = 0;           ///< when the last attempt was sent
         RecordMs failedAt = 0;         ///< when the call that failed last was made
         RecordMs mayHaveRunSince = 0;  ///< when the first that may have run was sent; 0: none has
-        bool operator==(const State&) const = default;
     };
 
     AttemptHistory() = default;
