Log and count why, when and how late a message ends, and why connections close

The logs could not tell an end that was decided late from a notice that went late, nor why a message ended, nor how much processor time a sender takes of its share.

Change: the module gives each end a reason (EndReason). The facade logs it with the attempts made, whether an attempt is in flight, and how late the end is; rules::EndRules is the one place that judges lateness, when an end is decided and when the platform has acknowledged it. A retry is logged with the status of the attempt before it. The hook for ended messages carries the deadline; five tests take its new type, with the checks as they were. Stored forms, the wire and metrics of before stay.

--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -189,14 +190,29 @@
     Time attemptDeadline;
     Time sendBy = Time::max();
 };
+/// Why a message ended undelivered.
+enum class EndReason {
+    expired,            ///< its time is up, or that in which it may be repeated
+    attemptsExhausted,  ///< it has been attempted as often as configured
+    waitTooLong,        ///< its destination's announced wait outlasts it
+    notRepeatable,      ///< its attempt may have run, and its effect is unsafe
+    retryTooLate,       ///< the next attempt would come after its deadline
+    retryNotPaid,       ///< the retry bucket of its destination is empty
+    holdsUpOrder        ///< it is past its delivery target and others wait for its order key
+};
+/// The name used in logs and metrics.
+std::string_view name(EndReason reason);
+
 /// Final answer: not delivered, and safe to submit again, after `retryIn` if that is above 0.
 struct Refuse {
     MessageId id;
     Duration retryIn{};
+    EndReason reason = EndReason::expired;
 };
 /// Final answer: not delivered as far as known, but it may have taken effect.
 struct Fail {
     MessageId id;
+    EndReason reason = EndReason::expired;
 };
 /// Cancel one attempt: stop waiting for its answer. Its Outcome still has to be reported.
 struct Cancel {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -17,6 +17,8 @@
 // What holds where a figure is missing; README lists them.
 constexpr int kSlots = 8, kHeld = 100, kAttempts = 8;
 constexpr std::chrono::seconds kConnect{1}, kKeepAlive{5};
+// A share of a core outside this range is taken for the nearest one inside it.
+constexpr double kMinCores = 0.01, kMaxCores = 64;
 
 [[noreturn]] void bad(const std::string& what) { throw Bad(what); }
 
@@ -157,6 +159,7 @@
     const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
     if (error != std::errc{} || end != seed.data() + seed.size()) bad("the seed is not a hexadecimal number");
     const auto& limits = member(*root, "limits");
+    c.cores = std::clamp(number(limits, "cores", 1.0), kMinCores, kMaxCores);
     c.sockets = static_cast<std::size_t>(count(limits, "sockets", 1024, 32));
     c.memoryMb = static_cast<std::size_t>(std::max(16.0, number(limits, "memory_mb", 192)));
     c.limitsText = limits.toStyledString();
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -24,6 +24,7 @@
     net::Address listen, discovery;
     std::string state;  ///< the folder that lasts
     std::uint64_t seed = 0;
+    double cores = 1;  ///< share of a core that the process may use
     std::size_t sockets = 1024, memoryMb = 192;
     std::uint64_t diskBytes = 0;
     listing::EndpointList known;
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -21,9 +21,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kLateWakeUp{50};  // a wake-up that is later is logged
-// An end decided more than this after the message's deadline violates the rule late_end.
-constexpr milliseconds kLateEnd{300};
+constexpr milliseconds kLateWakeUp{50};           // a wake-up that is later is logged
 constexpr milliseconds kRecordRetryInterval{20};  // between attempts to write records the store could not
 // An end that the store can't write is reported to the platform after this time all the same.
 constexpr milliseconds kUnrecordedEndDelay{150};
@@ -99,6 +97,7 @@
       recordClock_(recordClock),
       sender_(config.settings, config.seed),
       sendRules_({config.drainGrace, config.settings.maxAttempts}, violations_),
+      endRules_(violations_),
       recorder_(store, recordClock, violations_) {}
 
 // ---- attempts ----
@@ -163,6 +162,7 @@
         .kv("kind", kind)
         .kv("endpoint", due.endpoint)
         .kv("destination", due.destination);
+    if (held.lastStatus) line.kv("after", name(*held.lastStatus));
     if (held.mayHaveRunSince)
         line.kv("may_have_run_ms_ago", (Steady::now() - *held.mayHaveRunSince) / milliseconds(1));
 }
@@ -273,6 +273,7 @@
     HeldMessage& held = it->second;
     --inFlight_;
     held.inFlight = false;
+    held.lastStatus = result.status;
     if (result.status == AttemptStatus::unsent) --held.attempts;
     const bool finished = result.messageFinished || result.status == AttemptStatus::delivered;
     // An answer may arrive while the process stops. Without a record of it the next run would repeat a
@@ -476,9 +477,9 @@
         // classes, so such a message would never end.
         if (recovered.state == RecoveryState::unknownClass) {
             endUndelivered(
-                message.id,
                 {message.id, recovered.mayHaveRun ? store::FinalState::failed : store::FinalState::returned,
-                 0});
+                 0},
+                "unknown_class");
             continue;
         }
         // Until the list names the destination, it is treated as one that has just been unlisted.
@@ -508,7 +509,11 @@
         } else {
             // A late wake-up delays every decision that depends on time, so it is worth a warning.
             const auto late = std::chrono::duration_cast<milliseconds>(Steady::now() - next);
-            if (late > kLateWakeUp) log::warning() << "timer ran " << late.count() << " ms late";
+            if (late > kLateWakeUp) {
+                static auto& lateTimers = metrics::counter("timers_late_total");
+                lateTimers.add();
+                log::warning() << "timer ran " << late.count() << " ms late";
+            }
             wakeUpAt_.reset();
             runTurn({{stoathub::TimerFired{}}});
             return true;
@@ -566,7 +571,8 @@
                 recorder_.remove(refuse->id);
                 removeHeldMessage(refuse->id);
             } else {
-                endUndelivered(refuse->id, {refuse->id, store::FinalState::returned, after.count()});
+                endUndelivered({refuse->id, store::FinalState::returned, after.count()},
+                               stoathub::name(refuse->reason));
             }
         } else if (const auto* fail = std::get_if<stoathub::Fail>(&action)) {
             if (submissionResult && fail->id == *submittedId) {
@@ -574,7 +580,7 @@
                 recorder_.remove(fail->id);
                 removeHeldMessage(fail->id);
             } else {
-                endUndelivered(fail->id, {fail->id, store::FinalState::failed, 0});
+                endUndelivered({fail->id, store::FinalState::failed, 0}, stoathub::name(fail->reason));
             }
         } else if (const auto* cancel = std::get_if<stoathub::Cancel>(&action)) {
             const auto it = heldMessages_.find(cancel->id);
@@ -592,23 +598,31 @@
     if (recorder_.hasUnwrittenRecords()) wakeUp_.notify_one();
 }
 
-void Decisions::endUndelivered(const std::string& id, const store::PendingNotice& notice) {
+void Decisions::endUndelivered(const store::PendingNotice& notice, std::string_view reason) {
+    const std::string& id = notice.id;
     const auto it = heldMessages_.find(id);
     if (it == heldMessages_.end()) return;
     if (it->second.ended) return violations_.count(rules::Rule::finalAnswer, id, "second end of one message");
-    const auto late = Steady::now() - it->second.submission.deadline;
-    if (late > kLateEnd && !it->second.recovered)
-        violations_.count(rules::Rule::lateEnd, id, std::to_string(late / milliseconds(1)) + " ms late");
+    const HeldMessage& held = it->second;
+    const auto lateness = Steady::now() - held.submission.deadline;
+    if (!held.recovered) endRules_.taken(rules::EndStep::decided, id, lateness);
     const char* state = notice.finalState == store::FinalState::failed ? "failed" : "returned";
     metrics::counter("ends_total", "state", state).add();
+    metrics::counter("ends_by_reason_total", "reason", reason).add();
     (log::debug() << "message ended undelivered")
         .kv("id", id)
         .kv("state", state)
+        .kv("reason", reason)
+        .kv("attempts", held.attempts)
+        .kv("in_flight", held.inFlight ? "yes" : "no")
+        .kv("late_ms", lateness / milliseconds(1))
         .kv("after_ms", notice.retryAfterMs);
+    const std::optional<TimePoint> deadline =
+        held.recovered ? std::nullopt : std::optional(held.submission.deadline);
     recorder_.recordFinalState(notice);
     if (it->second.inFlight) it->second.ended = true;
     else removeHeldMessage(id);
-    unreportedEnds_.push_back({notice, Steady::now() + kUnrecordedEndDelay});
+    unreportedEnds_.push_back({{notice, deadline}, Steady::now() + kUnrecordedEndDelay});
     reportEnds(false);
 }
 
@@ -619,12 +633,12 @@
     const bool recorded = !recorder_.hasUnwrittenRecords();
     const auto now = Steady::now();
     while (!unreportedEnds_.empty() && (all || recorded || now >= unreportedEnds_.front().reportBy)) {
-        const auto notice = std::move(unreportedEnds_.front().notice);
+        const auto end = std::move(unreportedEnds_.front().end);
         unreportedEnds_.pop_front();
         (log::debug() << "end reported to the notices module")
-            .kv("id", notice.id)
+            .kv("id", end.notice.id)
             .kv("recorded", recorded ? "yes" : "no");
-        if (hooks_.messageEnded) hooks_.messageEnded(notice);
+        if (hooks_.messageEnded) hooks_.messageEnded(end);
     }
 }
 
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -24,6 +24,7 @@
 #include "config/config.hpp"
 #include "decisions/recorder.hpp"
 #include "listing/listing.hpp"
+#include "rules/end_rules.hpp"
 #include "rules/send_rules.hpp"
 #include "store/store.hpp"
 
@@ -98,10 +99,16 @@
     bool probed = false;  ///< a probe has just reached it
 };
 
+/// The end of a message that was not delivered.
+struct UndeliveredEnd {
+    store::PendingNotice notice;
+    std::optional<TimePoint> deadline;  ///< empty if it may have passed before this process run
+};
+
 /// Callbacks. They run with the facade's lock held and must not call back into the facade.
 struct Hooks {
     /// A message ended undelivered and the platform is to be notified.
-    std::function<void(const store::PendingNotice&)> messageEnded;
+    std::function<void(const UndeliveredEnd&)> messageEnded;
     /// The endpoint changed or left the list, or none of its idle connections is to be kept.
     std::function<void(const std::string& endpoint)> closeIdleConnections;
     /// An attempt ended: evidence of which server is at the endpoint's address.
@@ -165,6 +172,8 @@
     TableSizes tableSizes() const;
     /// Violations of the rules that were detected. Does not take the facade's lock.
     const rules::Violations& violations() const { return violations_; }
+    /// The rules on ends. Does not take the facade's lock.
+    rules::EndRules& endRules() { return endRules_; }
 
     /// Retry bucket of a destination; see stoathub::RetryBucketState.
     struct RetryBucketState {
@@ -198,6 +207,7 @@
         bool recovered = false;       // from an earlier run: its deadline may have passed between the runs
         int acceptedSubmissions = 1;  // answered, or about to be answered, with `accepted`
         std::optional<TimePoint> mayHaveRunSince;  // when the first attempt that may have run was sent
+        std::optional<AttemptStatus> lastStatus;   // of the last attempt in this process run
         std::stop_source cancelSource;
     };
     struct DestinationState {
@@ -211,7 +221,7 @@
     void removeHeldMessage(const std::string& id);
     void runTurn(const struct Events& events, SubmissionResult* submissionResult = nullptr,
                  const std::string* submittedId = nullptr);
-    void endUndelivered(const std::string& id, const store::PendingNotice& notice);
+    void endUndelivered(const store::PendingNotice& notice, std::string_view reason);
     bool isCurrent(const HeldMessage& held, const DueAttempt& due) const;
     rules::Attempt rulesAttempt(const DueAttempt& due) const;
     static void logAttemptBegin(const HeldMessage& held, const DueAttempt& due);
@@ -230,11 +240,12 @@
     stoathub::Sender sender_;
     rules::Violations violations_;
     rules::SendRules sendRules_;
+    rules::EndRules endRules_;
     Recorder recorder_;
     /// An end that is not on record yet because the store has unwritten records. It is reported at `reportBy`
     /// even if it is still unwritten.
     struct UnreportedEnd {
-        store::PendingNotice notice;
+        UndeliveredEnd end;
         TimePoint reportBy;
     };
     std::deque<UnreportedEnd> unreportedEnds_;
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 
 #include "log/log.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::delivery {
 namespace {
@@ -128,7 +129,16 @@
             return AttemptResult{AttemptStatus::unsent, false, {}, {}, {}};  // no file descriptor is free
         const AttemptResult result = sendRequest(dueAttempt, *address, fd.get(), reused, keep);
         // The connection is released only here, where a cancellation of this attempt can't shut it any more.
-        if (keep) idleConnections_.release(dueAttempt.endpoint, dueAttempt.address, std::move(fd));
+        if (keep) {
+            idleConnections_.release(dueAttempt.endpoint, dueAttempt.address, std::move(fd));
+        } else {
+            const auto reason = decisions::name(result.status);
+            metrics::counter("attempt_connections_closed_total", "after", reason).add();
+            (log::debug() << "closing connection after an attempt")
+                .kv("id", dueAttempt.id)
+                .kv("endpoint", dueAttempt.endpoint)
+                .kv("after", reason);
+        }
         fd.reset();
         // An endpoint starts on a request only after its last byte: a reused connection that broke before
         // that is no failure, and the request is sent again on a new one.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -77,6 +77,13 @@
     return false;
 }
 
+/// Processor time that all threads of this process have used.
+double processCpuSeconds() {
+    timespec used{};
+    if (clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used) != 0) return 0;
+    return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
+}
+
 /// Blocks the handled signals for all threads from the start of the program; the first thread receives them
 /// in stopSignalWithin(). A reload sent to all senders may reach one that has only just started, and
 /// unblocked SIGHUP would end that process. A blocked signal stays pending, and the configuration is read
@@ -119,14 +126,17 @@
     delivery::Delivery* deliveryPtr = nullptr;
     roster::Roster* rosterPtr = nullptr;
     discovery::Discovery discovery(config.discovery);
-    notices::NoticeDispatcher notices(discovery,
-                                      [&](const auto& ids) { decisionsPtr->acknowledgeNotices(ids); });
+    notices::NoticeDispatcher notices(
+        discovery, [&](const auto& ids) { decisionsPtr->acknowledgeNotices(ids); },
+        [&](const std::string& id, std::chrono::nanoseconds lateness) {
+            decisionsPtr->endRules().taken(rules::EndStep::acknowledged, id, lateness);
+        });
     trace::Capture capture(localSettings.capture, config);
     decisions::Decisions decisions(
         config, store,
-        {[&](const store::PendingNotice& notice) {
-             notices.add(notice);
-             capture.ended(notice);
+        {[&](const decisions::UndeliveredEnd& end) {
+             notices.add(end.notice, end.deadline);
+             capture.ended(end.notice);
          },
          [&](const std::string& endpoint) { deliveryPtr->closeIdleConnections(endpoint); },
          [&](const decisions::DueAttempt& attempt, const decisions::AttemptResult& result, auto duration) {
@@ -149,6 +159,8 @@
     metrics::setGauge("messages_held", [&] { return static_cast<double>(decisions.heldMessages()); });
     metrics::setGauge("attempts_out", [&] { return static_cast<double>(decisions.attemptsInFlight()); });
     metrics::setGauge("notices_owed", [&] { return static_cast<double>(notices.pendingCount()); });
+    metrics::setGauge("process_cpu_seconds", processCpuSeconds);
+    metrics::setGauge("process_cpu_limit_cores", [&] { return config.cores; });
     front.setMetrics(metrics::renderText);
     roster.begin();
     for (const auto& notice : recovered.notices) notices.add(notice);
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -40,9 +40,9 @@
     thread_.join();
 }
 
-void NoticeDispatcher::add(const store::PendingNotice& notice) {
+void NoticeDispatcher::add(const store::PendingNotice& notice, std::optional<net::Deadline> deadline) {
     const std::lock_guard lock(mutex_);
-    queue_.push_back(notice);
+    queue_.push_back({notice, deadline});
     wake_.notify_one();
 }
 
@@ -60,7 +60,7 @@
         {
             std::unique_lock lock(mutex_);
             if (!wake_.wait(lock, stopToken, [this] { return !queue_.empty(); })) return;
-            for (const auto& notice : queue_) {
+            for (const auto& [notice, deadline] : queue_) {
                 if (!ids.empty() && (oneByOne_ || body.size() > kMaxBodyBytes)) break;
                 body += formatNotice(notice);
                 ids.push_back(notice.id);
@@ -83,6 +83,7 @@
             log::error() << "notices: the platform rejected as unreadable: " << body;
         if (result == PostResult::acknowledged || result == PostResult::rejected) {
             pause = kMinRetryPause;
+            reportLateness(ids.size());
             onAcknowledged_(ids);
             const std::lock_guard lock(mutex_);
             queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(ids.size()));
@@ -103,6 +104,15 @@
     }
 }
 
+/// Reports how late the first notices of the queue have been acknowledged.
+void NoticeDispatcher::reportLateness(std::size_t acknowledged) {
+    if (!onLateness_) return;
+    const auto now = net::Steady::now();
+    const std::lock_guard lock(mutex_);
+    for (std::size_t i = 0; i < acknowledged; ++i)
+        if (queue_[i].deadline) onLateness_(queue_[i].notice.id, now - *queue_[i].deadline);
+}
+
 // If discovery moves during an exchange, the notices are posted again at the new address. Duplicates are
 // harmless.
 NoticeDispatcher::PostResult NoticeDispatcher::post(const discovery::Location& location,
--- a/src/notices/notices.hpp
+++ b/src/notices/notices.hpp
@@ -2,10 +2,12 @@
 // repeats each until the platform acknowledges it.
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <stop_token>
 #include <string>
 #include <vector>
@@ -26,15 +28,21 @@
   public:
     /// `onAcknowledged` is called on the dispatcher's thread with the ids of notices that need no repeat:
     /// those that the platform acknowledged, and one that it rejected as unreadable.
+    /// `onLateness` is called there too, for each acknowledged notice with a deadline: how long after it the
+    /// acknowledgement came, or before it if negative.
     NoticeDispatcher(const discovery::Discovery& discovery,
-                     std::function<void(const std::vector<std::string>&)> onAcknowledged)
-        : discovery_(discovery), onAcknowledged_(std::move(onAcknowledged)) {}
+                     std::function<void(const std::vector<std::string>&)> onAcknowledged,
+                     std::function<void(const std::string& id, std::chrono::nanoseconds)> onLateness = {})
+        : discovery_(discovery),
+          onAcknowledged_(std::move(onAcknowledged)),
+          onLateness_(std::move(onLateness)) {}
     ~NoticeDispatcher() { stop(); }
     void start();
     /// Waits until the queue is empty or a request fails, then ends the thread. Notices still queued are not
     /// posted.
     void stop();
-    void add(const store::PendingNotice& notice);
+    /// `deadline`: of the message, if it is known.
+    void add(const store::PendingNotice& notice, std::optional<net::Deadline> deadline = {});
     /// Notices that the platform has not acknowledged yet.
     std::size_t pendingCount() const;
 
@@ -45,16 +53,22 @@
         noAnswer,   ///< no connection, no complete response in time, or a status other than 2xx and 400
         localError  ///< this machine lacked a socket, a port, a route or a buffer
     };
+    struct QueuedNotice {
+        store::PendingNotice notice;
+        std::optional<net::Deadline> deadline;
+    };
     void run();
+    void reportLateness(std::size_t acknowledged);
     PostResult post(const discovery::Location& location, const std::string& body);
     PostResult exchange(const discovery::Location& location, const std::string& body, bool reused,
                         bool& keepOpen);
 
     const discovery::Discovery& discovery_;
     std::function<void(const std::vector<std::string>&)> onAcknowledged_;
+    std::function<void(const std::string&, std::chrono::nanoseconds)> onLateness_;
     mutable std::mutex mutex_;
     std::condition_variable_any wake_;
-    std::deque<store::PendingNotice> queue_;
+    std::deque<QueuedNotice> queue_;
     bool oneByOne_ = false;         // one notice per request, to find the one that the platform rejects
     net::Fd fd_;                    // used by the thread only, as is connectedAddress_
     std::string connectedAddress_;  // the address that fd_ is connected to
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -717,21 +717,24 @@
     void scheduleRetry(std::uint64_t sequence, Message& message, Result result) {
         const bool mayRetry = result == Result::rejected || result == Result::connectFailed ||
                               result == Result::notForwarded || message.effect != Effect::unsafe;
-        if (!mayRetry || message.attempts >= settings_.maxAttempts) return giveFinalAnswer(sequence);
+        if (!mayRetry) return giveFinalAnswer(sequence, EndReason::notRepeatable);
+        if (message.attempts >= settings_.maxAttempts)
+            return giveFinalAnswer(sequence, EndReason::attemptsExhausted);
         // Messages that could not be delivered in time keep retrying, take capacity from fresh messages with
         // a higher value, and keep the load high long after its cause is gone. So in a large fleet a message
         // past its delivery target has a longer backoff, and ends instead of holding up others with its order
         // key. The cost: it may miss a destination that has just recovered.
         const bool pastTarget = settings_.senders > kSmallFleetSenders && now_ > message.deliveryTargetAt;
         if (pastTarget && message.orderKey && orderQueues_.at(*message.orderKey).sequences.size() > 1)
-            return giveFinalAnswer(sequence);
+            return giveFinalAnswer(sequence, EndReason::holdsUpOrder);
         const Seconds range =
             kBackoffBaseSeconds * std::pow(2.0, message.attempts) * (pastTarget ? kLateBackoffFactor : 1);
         message.notBefore = now_ + range * (kBackoffMinFraction + (1 - kBackoffMinFraction) * random());
         message.pendingTokens = result == Result::notForwarded ? 0
                                 : result == Result::rejected   ? kRejectedRetryCostTokens
                                                                : kRetryCostTokens;
-        if (message.notBefore + routeOf(message).latency > message.deadline) giveFinalAnswer(sequence);
+        if (message.notBefore + routeOf(message).latency > message.deadline)
+            giveFinalAnswer(sequence, EndReason::retryTooLate);
     }
 
     // ---- final answers ----
@@ -742,15 +745,15 @@
                (message.effect == Effect::keyed && messageClass.keyScope == KeyScope::all);
     }
 
-    void giveFinalAnswer(std::uint64_t sequence) {
+    void giveFinalAnswer(std::uint64_t sequence, EndReason reason) {
         Message& message = messages_.at(sequence);
         if (isSafeToResubmit(message)) {
             Seconds retryIn = std::max(routeOf(message).waitUntil - now_, 0.0);
             if (settings_.maxRetryAfter > Duration{})
                 retryIn = std::min(retryIn, toSeconds(settings_.maxRetryAfter));
-            actions_.push_back(Refuse{message.id, toDuration(retryIn)});
+            actions_.push_back(Refuse{message.id, toDuration(retryIn), reason});
         } else {
-            actions_.push_back(Fail{message.id});
+            actions_.push_back(Fail{message.id, reason});
         }
         message.ended = true;
         removeIfFinished(sequence);
@@ -797,7 +800,7 @@
 
     // Ends messages that can no longer be delivered, before their deadline.
     void endExpired() {
-        std::vector<std::uint64_t> expired;
+        std::vector<std::pair<std::uint64_t, EndReason>> ending;
         for (const auto& [sequence, message] : messages_) {
             if (message.ended || message.hasActiveAttempt()) continue;
             // Nothing is sent beyond the attempt limit or the key window, so such a message ends at once.
@@ -807,10 +810,14 @@
             const Seconds due = last - kAnswerMarginSeconds - kMinTimerSeconds;
             // If the announced wait outlasts the message, holding it would only delay the answer that tells
             // the client when to submit it again.
-            if (now_ > due || earliestWaitEnd(*message.destination) > due) expired.push_back(sequence);
+            if (now_ > due)
+                ending.emplace_back(
+                    sequence, attemptsExhausted ? EndReason::attemptsExhausted : EndReason::expired);
+            else if (earliestWaitEnd(*message.destination) > due)
+                ending.emplace_back(sequence, EndReason::waitTooLong);
             else checkAt(due + kRoundingMarginSeconds);
         }
-        for (const auto sequence : expired) giveFinalAnswer(sequence);
+        for (const auto& [sequence, reason] : ending) giveFinalAnswer(sequence, reason);
         for (auto it = orderQueues_.begin(); it != orderQueues_.end();)
             it = it->second.sequences.empty() && it->second.pausedUntil < now_ ? orderQueues_.erase(it)
                                                                                : std::next(it);
@@ -900,7 +907,7 @@
             Message& message = messages_.at(sequence);
             if (message.pendingTokens > 0) {
                 if (!message.destination->bucket.tryPay(message.pendingTokens, now_)) {
-                    giveFinalAnswer(sequence);
+                    giveFinalAnswer(sequence, EndReason::retryNotPaid);
                     continue;
                 }
                 message.paidTokens += std::exchange(message.pendingTokens, 0.0);
@@ -1122,6 +1129,19 @@
     std::vector<Action> actions_;
 };
 
+std::string_view name(EndReason reason) {
+    switch (reason) {
+        case EndReason::expired: return "expired";
+        case EndReason::attemptsExhausted: return "attempts_exhausted";
+        case EndReason::waitTooLong: return "wait_too_long";
+        case EndReason::notRepeatable: return "not_repeatable";
+        case EndReason::retryTooLate: return "retry_too_late";
+        case EndReason::retryNotPaid: return "retry_not_paid";
+        case EndReason::holdsUpOrder: break;
+    }
+    return "holds_up_order";
+}
+
 Sender::Sender(const Settings& settings, std::uint64_t seed)
     : impl_(std::make_unique<Impl>(settings, seed)) {}
 Sender::~Sender() = default;
--- a/tests/decisions/end_recording_test.cpp
+++ b/tests/decisions/end_recording_test.cpp
@@ -26,7 +26,7 @@
   protected:
     EndRecording() {
         log::setLevel(log::Level::off);
-        hooks_.messageEnded = [this](const store::PendingNotice&) { reported_ = true; };
+        hooks_.messageEnded = [this](const decisions::UndeliveredEnd&) { reported_ = true; };
         facade_ = std::make_unique<decisions::Decisions>(config_, store_, hooks_);
         facade_->updateEndpoints(config_.known, true);
         ticker_ = threads::Thread("tick", [this] {
--- a/tests/delivery/local_failures_test.cpp
+++ b/tests/delivery/local_failures_test.cpp
@@ -61,7 +61,7 @@
     NoStore store;
     std::atomic<int> ended{0};
     decisions::Hooks hooks;
-    hooks.messageEnded = [&](const store::PendingNotice&) { ++ended; };
+    hooks.messageEnded = [&](const decisions::UndeliveredEnd&) { ++ended; };
     decisions::Decisions decisions(config, store, hooks);
     decisions.updateEndpoints(config.known, true);
     errorToFailWith = GetParam().error;
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -56,7 +56,7 @@
                                                        check::settings(4, kMaxHeldMessages)),
                                   {{"BALANCER_STATE", "/tmp"}})),
           facade(config, memoryStore,
-                 {[this](const store::PendingNotice& notice) { ends.push_back(notice); },
+                 {[this](const decisions::UndeliveredEnd& end) { ends.push_back(end.notice); },
                   [this](const std::string& endpoint) { closed.push_back(endpoint); }}) {
         facade.updateEndpoints(config.known, true);
     }
@@ -344,8 +344,8 @@
             {{"BALANCER_STATE", "/tmp"}});
         MemoryStore memoryStore;
         std::vector<store::PendingNotice> ends;
-        decisions::Decisions facade(config, memoryStore,
-                                    {[&](const store::PendingNotice& e) { ends.push_back(e); }, {}});
+        decisions::Decisions facade(
+            config, memoryStore, {[&](const decisions::UndeliveredEnd& e) { ends.push_back(e.notice); }, {}});
         facade.updateEndpoints(config.known, true);
         auto m = recoveredMessage("m", 9000, c.ran ? 1 : 0, c.ran ? 1000 : 0);
         m.messageClass = c.messageClass;
--- a/tests/laurelhaven/race_test.cpp
+++ b/tests/laurelhaven/race_test.cpp
@@ -275,7 +275,7 @@
               configuration("127.0.0.1:0", "127.0.0.1:1", entry("a", "127.0.0.1:9", 7), settings(4, 100)),
               {{"BALANCER_STATE", "/tmp"}})),
           facade(config, store,
-                 {[](const store::PendingNotice&) {},
+                 {[](const decisions::UndeliveredEnd&) {},
                   [](const std::string&) {},
                   {},
                   {},
@@ -453,7 +453,7 @@
         {{"BALANCER_STATE", "/tmp"}});
     NoStore store;
     decisions::Decisions facade(config, store,
-                                {[](const store::PendingNotice&) {}, [](const std::string&) {}});
+                                {[](const decisions::UndeliveredEnd&) {}, [](const std::string&) {}});
     delivery::Delivery delivery(config, facade);
     facade.updateEndpoints(config.known, true);
     delivery.start();
@@ -501,7 +501,7 @@
             {{"BALANCER_STATE", "/tmp"}});
         NoStore store;
         decisions::Decisions facade(config, store,
-                                    {[](const store::PendingNotice&) {}, [](const std::string&) {}});
+                                    {[](const decisions::UndeliveredEnd&) {}, [](const std::string&) {}});
         roster::Options options;
         options.saveList = false;
         options.probeTimeout = std::chrono::seconds(20);
@@ -610,7 +610,7 @@
             std::this_thread::sleep_for(milliseconds(5));  // on loopback it is there by then
         };
         decisions::Decisions facade(config, told,
-                                    {[](const store::PendingNotice&) {}, [](const std::string&) {}});
+                                    {[](const decisions::UndeliveredEnd&) {}, [](const std::string&) {}});
         delivery::Delivery delivery(config, facade);
         facade.updateEndpoints(config.known, true);
         delivery.start();
@@ -641,7 +641,7 @@
         configuration("127.0.0.1:0", "127.0.0.1:1", entry("a", "127.0.0.1:9", 7), settings(6, 9)),
         {{"BALANCER_STATE", "/tmp"}});
     decisions::Decisions facade(config, told,
-                                {[](const store::PendingNotice&) {}, [](const std::string&) {}});
+                                {[](const decisions::UndeliveredEnd&) {}, [](const std::string&) {}});
     facade.updateEndpoints(config.known, true);
     using decisions::AttemptStatus;
     const std::pair<AttemptStatus, std::string> cases[] = {{AttemptStatus::delivered, "ad"},
@@ -679,7 +679,7 @@
         configuration("127.0.0.1:0", "127.0.0.1:1", entry("a", "127.0.0.1:9", 7), settings(8, 9)),
         {{"BALANCER_STATE", "/tmp"}});
     decisions::Decisions facade(config, store,
-                                {[](const store::PendingNotice&) {}, [](const std::string&) {}});
+                                {[](const decisions::UndeliveredEnd&) {}, [](const std::string&) {}});
     facade.updateEndpoints(config.known, true);
     for (int i = 0; i < 3; ++i) {
         CHECK(facade.submit(message("m" + std::to_string(i))).kind ==
--- a/tests/laurelhaven/shared_test.cpp
+++ b/tests/laurelhaven/shared_test.cpp
@@ -40,7 +40,7 @@
               {{"BALANCER_STATE", folder.path}})),
           journal(folder.path, 3'000'000),
           facade(config, journal,
-                 {[this](const store::PendingNotice& notice) { ++seen[number(notice.id)].noticed; },
+                 {[this](const decisions::UndeliveredEnd& end) { ++seen[number(end.notice.id)].noticed; },
                   [](const std::string&) {}}) {
         journal.recover();
         facade.updateEndpoints(config.known, true);
