--- a/lab/soak/clients.cpp
+++ b/lab/soak/clients.cpp
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr milliseconds kPatience{400};        // of a client for its answer
-constexpr milliseconds kCrowdStep{100};       // in which a crowd takes again what was closed
-constexpr milliseconds kCrowdConnect{200};    // of its patience for a connect
 constexpr milliseconds kBadClientOwed{3000};  // within which a bad client gets its error or its close
 
 }  // namespace
@@ -170,28 +168,4 @@
     oracle_.unanswered(in.id, lost(heard, before), true, Steady::now());
 }
 
-Crowd::Crowd(const Machine& machine, std::size_t connections)
-    : machine_(machine), connections_(connections), thread_([this] { keepFull(); }) {}
-
-Crowd::~Crowd() {
-    over_ = true;
-    thread_.join();
-}
-
-void Crowd::keepFull() {
-    const auto address = net::parseAddress(machine_.listen());
-    while (!over_) {
-        for (auto& fd : connections_) {
-            if (over_) return;
-            if (fd && net::unreadState(fd.get()) == net::UnreadState::nothing) continue;
-            fd = machine_.takesNewConnections() ? net::tcpSocket() : net::Fd{};
-            if (fd && !net::connectBy(fd.get(), *address, Steady::now() + kCrowdConnect)) {
-                fd.reset();
-                break;  // nobody takes any just now
-            }
-        }
-        std::this_thread::sleep_for(kCrowdStep);
-    }
-}
-
 }  // namespace laurelhaven::lab::soak
--- a/lab/soak/clients.hpp
+++ b/lab/soak/clients.hpp
@@ -1,5 +1,4 @@
-// The clients of one sender: each hands in messages over connections that it keeps, some are rude, and a
-// crowd only takes room.
+// The clients of one sender: each hands in messages over connections that it keeps, and some are rude.
 #pragma once
 
 #include <array>
@@ -71,21 +70,4 @@
     std::array<net::Fd, kConnections> kept_;
 };
 
-/// Idle connections to one sender, more than it has descriptors for, for as long as the object lives.
-class Crowd {
-  public:
-    Crowd(const Machine& machine, std::size_t connections);
-    ~Crowd();
-    Crowd(const Crowd&) = delete;
-    Crowd& operator=(const Crowd&) = delete;
-
-  private:
-    void keepFull();
-
-    const Machine& machine_;
-    std::atomic<bool> over_{false};
-    std::vector<net::Fd> connections_;
-    std::thread thread_;
-};
-
 }  // namespace laurelhaven::lab::soak
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "soak/clients.hpp"
+#include "soak/crowd.hpp"
 #include "soak/machine.hpp"
 #include "soak/message_class.hpp"
 #include "soak/partner.hpp"
@@ -218,7 +219,11 @@
             case Kind::discoveryCut: mode(machine, on ? Discovery::Mode::cut : Discovery::Mode::up); break;
             case Kind::discoverySlow: mode(machine, on ? Discovery::Mode::slow : Discovery::Mode::up); break;
             case Kind::crowd:
-                if (on) crowds_.try_emplace(t.target, std::make_unique<Crowd>(machine, kCrowdSize));
+                if (on)
+                    crowds_.try_emplace(t.target,
+                                        std::make_unique<Crowd>(machine.listen(), kCrowdSize, [&machine] {
+                                            return machine.takesNewConnections();
+                                        }));
                 else crowds_.erase(t.target);
                 break;
             default: break;
