Count a request's time from its arrival, not from when a busy sender reads it

Callers saw: nothing yet; found while the clients' thread was read through. A sender that is busy, or that holds clients back for want of processor time, would have ended such messages up to 400 ms late, beyond the 300 ms of slack.

Cause: the time in Req-Deadline-Ms counted from the read of the first byte. The bytes may have waited in the socket while other connections were served, or with their connection in the listen queue.

Evidence: LateRead holds the server up for 200 ms while a kept and a new connection send. With the time of the read (the cap of 400 ms set to 0) both messages get 5,200 ms of 5,000; with the change at most 5,100, the bound being half of the hold-up.

Change: HttpServer keeps since when what it handles may have arrived: the end of its last wait for events, or the moment of waking where it waited; for new connections, since when some may stand in the queue; 400 ms at most, as clients leave then.

--- a/src/front/client_connection.cpp
+++ b/src/front/client_connection.cpp
@@ -40,49 +40,52 @@
     net::shutdownRead(fd_.get());
 }
 
-void ClientConnection::onReady(net::Deadline now) {
+void ClientConnection::onReady(net::Deadline now, net::Deadline arrivedSince) {
     if (!output_.empty()) return writeOutput(now);
     if (phase_ == Phase::draining) return discardInput();
-    readInput(now);
+    readInput(now, arrivedSince);
 }
 
-void ClientConnection::onDeadline(net::Deadline now) {
+void ClientConnection::onDeadline(net::Deadline now, net::Deadline arrivedSince) {
     if (!output_.empty()) return outputLost();
     if (phase_ == Phase::draining) return close();
     // On a busy processor bytes may have arrived in time that have not been read yet.
-    if (net::unreadState(fd_.get()) == net::UnreadState::bytes) readInput(now);
+    if (net::unreadState(fd_.get()) == net::UnreadState::bytes) readInput(now, arrivedSince);
     if (isClosed() || deadline_ > now || !output_.empty()) return;
     if (phase_ == Phase::reading) return reject(408, "the request took too long\n", now);
     closeWithoutResponse("silent");
 }
 
-void ClientConnection::beginRequest(net::Deadline now) {
+void ClientConnection::beginRequest(net::Deadline now, net::Deadline arrivedSince) {
     deadline_ = (firstRequest_ ? since_ : now) + kReadTimeout;
-    receivedAt_ = now;
+    receivedAt_ = arrivedSince;
     setPhase(Phase::reading, now);
 }
 
 /// Reads what has arrived, and answers once a whole request is there.
-void ClientConnection::readInput(net::Deadline now) {
+void ClientConnection::readInput(net::Deadline now, net::Deadline arrivedSince) {
     using State = http::Parser::State;
-    if (phase_ == Phase::fresh || phase_ == Phase::idle) beginRequest(now);
     for (int reads = 0; parser_.state() == State::head || parser_.state() == State::body; ++reads) {
         if (parser_.state() == State::body && !continued_ &&
             parser_.message().headers.lists("Expect", "100-continue")) {
             continued_ = true;
             return write("HTTP/1.1 100 Continue\r\n\r\n", AfterWrite::readOn, now);
         }
-        if (reads == kMaxReads || !readArrived(now)) return;
+        if (reads == kMaxReads || !readArrived(now, arrivedSince)) return;
     }
     answerOrReject(now);
 }
 
 /// Feeds the parser. Returns false if nothing has arrived or the connection has ended.
-bool ClientConnection::readArrived(net::Deadline now) {
+bool ClientConnection::readArrived(net::Deadline now, net::Deadline arrivedSince) {
     std::string bytes;
     const auto io = net::receiveArrived(fd_.get(), bytes);
     if (io == net::IoResult::timedOut) return false;
-    if (io == net::IoResult::done) return parser_.feed(bytes), true;
+    if (io == net::IoResult::done) {
+        if (phase_ == Phase::fresh || phase_ == Phase::idle) beginRequest(now, arrivedSince);
+        parser_.feed(bytes);
+        return true;
+    }
     // This side ended reading, and the client may be writing the last byte of its request, which would
     // otherwise get no response.
     if (io == net::IoResult::closed && (firstRequest_ || parser_.begun()) && askedToClose_) {
@@ -149,7 +152,7 @@
 void ClientConnection::outputWritten(net::Deadline now) {
     acceptedId_.clear();
     switch (afterWrite_) {
-        case AfterWrite::readOn: return readInput(now);
+        case AfterWrite::readOn: return readInput(now, now);
         case AfterWrite::nextRequest:
             parser_.next();
             firstRequest_ = continued_ = false;
--- a/src/front/client_connection.hpp
+++ b/src/front/client_connection.hpp
@@ -41,10 +41,11 @@
     using Phase = rules::ConnectionPhase;
 
     ClientConnection(net::Fd fd, RequestHandler& handler, net::Deadline now);
-    /// The socket has what interest() asks for, or failed.
-    void onReady(net::Deadline now);
+    /// The socket has what interest() asks for, or failed. `arrivedSince`: what there is to read arrived
+    /// after this; a request's time counts from then.
+    void onReady(net::Deadline now, net::Deadline arrivedSince);
     /// deadline() has passed.
-    void onDeadline(net::Deadline now);
+    void onDeadline(net::Deadline now, net::Deadline arrivedSince);
     /// Ends reading: a request already received completely is answered, then the connection closes.
     void askToClose();
 
@@ -64,9 +65,9 @@
     enum class AfterWrite { readOn, nextRequest, drain };
 
     void setPhase(Phase phase, net::Deadline now);
-    void beginRequest(net::Deadline now);
-    void readInput(net::Deadline now);
-    bool readArrived(net::Deadline now);
+    void beginRequest(net::Deadline now, net::Deadline arrivedSince);
+    void readInput(net::Deadline now, net::Deadline arrivedSince);
+    bool readArrived(net::Deadline now, net::Deadline arrivedSince);
     void answerOrReject(net::Deadline now);
     void answer(net::Deadline now);
     void reject(int status, std::string_view reason, net::Deadline now);
@@ -84,7 +85,7 @@
     Phase phase_ = Phase::fresh;
     net::Deadline since_;       // start of the phase
     net::Deadline deadline_;    // of what the phase waits for
-    net::Deadline receivedAt_;  // when the request began to arrive
+    net::Deadline receivedAt_;  // when the request began to arrive, at the earliest
     bool firstRequest_ = true, continued_ = false, askedToClose_ = false;
     std::string output_, acceptedId_;
     AfterWrite afterWrite_ = AfterWrite::readOn;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -27,7 +27,11 @@
 constexpr milliseconds kAcceptQueueTimeout{400};    // at a stop, for connections still in the listen queue
 constexpr milliseconds kLastRequestTimeout{300};    // at a stop, for a last request or the rest of one
 constexpr milliseconds kRetryPause{20};             // where descriptors, memory or connection slots are short
-constexpr int kMaxAccepts = 8;                      // before other connections have their turn
+// A client that has waited this long for its answer has left.
+constexpr milliseconds kClientPatience{400};
+// A wait for events that took longer than this was for events that had not come yet.
+constexpr milliseconds kWaitedAtAll{2};
+constexpr int kMaxAccepts = 8;  // before other connections have their turn
 constexpr std::size_t kMaxDrainedBytes = 80 << 20;
 // The longest pause before requests are served where processor time is short. Work with a deadline may use up
 // everything for long, and client work must go on slowly.
@@ -65,6 +69,7 @@
 
 void HttpServer::start() {
     ready_ = true;
+    polledAt_ = arrivedSince_ = net::Steady::now();
     thread_ = threads::Thread("clients", [this] { run(); });
 }
 
@@ -84,7 +89,7 @@
 
 void HttpServer::run() {
     for (;;) {
-        const auto& ready = poller_.wait(nextWakeUp());
+        const auto& ready = awaitEvents();
         advanceStop();
         throttle();
         serveReady(ready);
@@ -94,6 +99,22 @@
     }
 }
 
+/// Events come while this thread waits, or have come since it last did: it may have been busy, or held back,
+/// for so long that requests would be given more time than their clients gave them.
+const std::vector<void*>& HttpServer::awaitEvents() {
+    const auto begunAt = net::Steady::now();
+    const auto& ready = poller_.wait(nextWakeUp());
+    const auto now = net::Steady::now();
+    const bool waited = now - begunAt > kWaitedAtAll;
+    if (waited) arrivedSince_ = now;
+    else if (!poller_.hadMore()) arrivedSince_ = polledAt_;
+    arrivedSince_ = std::max(arrivedSince_, now - kClientPatience);
+    polledAt_ = now;
+    const bool listenerReady = std::find(ready.begin(), ready.end(), &listener_) != ready.end();
+    if (listening_ && (waited || !(listenerReady || poller_.hadMore()))) queuedSince_.reset();
+    return ready;
+}
+
 /// Waits while the process is near its share of processor time: briefly, as clients wait for answers. New
 /// connections are left to the system for longer, as each brings more work with it.
 void HttpServer::throttle() {
@@ -112,7 +133,7 @@
             continue;
         }
         Entry& entry = *static_cast<Entry*>(tag);
-        entry.connection.onReady(net::Steady::now());
+        entry.connection.onReady(net::Steady::now(), arrivedSince_);
         settle(entry);
     }
 }
@@ -120,7 +141,7 @@
 void HttpServer::serveExpired(net::Deadline now) {
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         Entry& entry = *deadlines_.begin()->second;
-        entry.connection.onDeadline(now);
+        entry.connection.onDeadline(now, arrivedSince_);
         settle(entry);
     }
 }
@@ -155,6 +176,7 @@
 // ---- new connections ----
 
 void HttpServer::acceptPending() {
+    if (!queuedSince_) queuedSince_ = arrivedSince_;
     for (int i = 0; i < kMaxAccepts && listening_; ++i)
         if (!acceptOne()) return;
 }
@@ -167,7 +189,10 @@
         return true;
     }
     const int error = errno;
-    if (error == EAGAIN || error == EWOULDBLOCK) return false;
+    if (error == EAGAIN || error == EWOULDBLOCK) {
+        queuedSince_.reset();
+        return false;
+    }
     if (error == EINTR || error == ECONNABORTED) return true;
     log::warning() << "accepting a client connection failed: " << std::strerror(error);
     if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM)
@@ -179,6 +204,7 @@
 void HttpServer::pauseAccepting(net::Deadline until) {
     if (!listener_) return;
     acceptAgainAt_ = std::max(acceptAgainAt_, until);
+    if (!queuedSince_) queuedSince_ = polledAt_;
     if (std::exchange(listening_, false)) poller_.change(listener_.get(), net::Interest::none, &listener_);
 }
 
@@ -212,6 +238,9 @@
     }
     deadlines_.emplace(entry.deadline, &entry);
     connectionCount_ = connections_.size();
+    // The request may be there already, and have waited with its connection.
+    entry.connection.onReady(now, std::max(queuedSince_.value_or(arrivedSince_), now - kClientPatience));
+    settle(entry);
 }
 
 /// Asks the connection with the highest rules::closePriority() to close. Returns false if none may be closed.
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <functional>
 #include <list>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -55,6 +56,7 @@
     bool closesIdle() const override { return stopStage_ == StopStage::closing; }
 
     void run();
+    const std::vector<void*>& awaitEvents();
     void serveReady(const std::vector<void*>& ready);
     void serveExpired(net::Deadline now);
     net::Deadline nextWakeUp() const;
@@ -83,6 +85,10 @@
     std::set<std::pair<net::Deadline, Entry*>> deadlines_;
     bool listening_ = true;  // the poller reports new connections
     net::Deadline acceptAgainAt_{};
+    net::Deadline polledAt_{};      // end of the last wait for events
+    net::Deadline arrivedSince_{};  // the events being handled came after this
+    /// Connections may have been waiting in the listen queue since then; empty if none is left there.
+    std::optional<net::Deadline> queuedSince_;
     StopStage stopStage_ = StopStage::running;
     net::Deadline stageEnd_{};
     threads::Thread thread_;
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -49,6 +49,7 @@
     std::array<epoll_event, kMaxEvents> events;
     const int found = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()),
                                  static_cast<int>(timeout.count()));
+    hadMore_ = found == static_cast<int>(events.size());
     for (int i = 0; i < found; ++i) {
         void* tag = events[static_cast<std::size_t>(i)].data.ptr;
         if (tag != this) {
--- a/src/net/poller.hpp
+++ b/src/net/poller.hpp
@@ -26,12 +26,15 @@
     /// The tags of the sockets with events, each once. Returns an empty list at the deadline and after
     /// wake().
     const std::vector<void*>& wait(Deadline until);
+    /// True if the last wait() may have left out sockets with events, as there were many.
+    bool hadMore() const { return hadMore_; }
     /// Ends the current or the next wait().
     void wake();
 
   private:
     Fd epoll_, wakeEvent_;
     std::vector<void*> ready_;
+    bool hadMore_ = false;
 };
 
 }  // namespace laurelhaven::net
