Log each attempt's connection and what its response has in common with earlier ones

Change: connections to endpoints have ids and remember their last responses; logs and new metrics name the connection of each attempt, the status read, the time to its first byte, whether the same bytes were read there before, and why each connection is opened and closed; deliveries, withdrawals, notices and answers to clients name their message and connection. Reading a response is a module of its own (src/http_client), as delivery, notices, registry and roster each have a loop for it. No decision is changed.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -281,9 +281,12 @@
     // no outcome.
     const bool cancelledByStop = stopped_ && result.status == AttemptStatus::cancelled;
     const auto attempt = std::exchange(held.openAttempt, std::nullopt);
-    if (finished && !held.ended) recorder_.remove(due.id);
-    else if (!held.ended && !cancelledByStop)
+    if (finished && !held.ended) {
+        logFinished(due, result, Steady::now() - held.submission.deadline);
+        recorder_.remove(due.id);
+    } else if (!held.ended && !cancelledByStop) {
         recorder_.recordOutcome(due.id, attempt, {mayHaveRun(result.status), failed(result.status)});
+    }
     if (mayHaveRun(result.status) && !held.mayHaveRunSince) held.mayHaveRunSince = due.issuedAt;
     if (stopped_) {  // results are recorded, but nothing more is decided
         if (finished || held.ended) removeHeldMessage(due.id);
@@ -307,6 +310,16 @@
     runTurn({{std::move(outcome)}});
 }
 
+/// A message that needs no final answer any more. `lateness`: after its deadline; before it if negative.
+void Decisions::logFinished(const DueAttempt& due, const AttemptResult& result,
+                            std::chrono::nanoseconds lateness) {
+    (log::debug() << "message finished")
+        .kv("id", due.id)
+        .kv("call", due.attempt + 1)
+        .kv("by", name(result.status))
+        .kv("late_ms", lateness / milliseconds(1));
+}
+
 void Decisions::updateEndpoints(const listing::EndpointList& list, bool saved) {
     // As for announced waits: endpoints that drain or go must get no new attempts while this thread waits for
     // the lock.
@@ -450,7 +463,9 @@
     if (stopped_ || it == heldMessages_.end() || it->second.ended) return;
     // The client may have submitted it again and received `accepted`. A lost answer to one submission must
     // not drop the message while another accepted submission depends on it.
-    if (--it->second.acceptedSubmissions > 0) return;
+    const int remaining = --it->second.acceptedSubmissions;
+    (log::debug() << "submission withdrawn").kv("id", id).kv("accepted_submissions", remaining);
+    if (remaining > 0) return;
     recorder_.remove(id);
     it->second.ended = true;
     if (!it->second.inFlight) removeHeldMessage(id);
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -225,6 +225,8 @@
     bool isCurrent(const HeldMessage& held, const DueAttempt& due) const;
     rules::Attempt rulesAttempt(const DueAttempt& due) const;
     static void logAttemptBegin(const HeldMessage& held, const DueAttempt& due);
+    static void logFinished(const DueAttempt& due, const AttemptResult& result,
+                            std::chrono::nanoseconds lateness);
     void undoBegin(HeldMessage& held, const std::string& id);
     void recordAcknowledgedNotices();
     void reportEnds(bool all);
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstring>
+#include <utility>
 
 #include "log/log.hpp"
 #include "metrics/metrics.hpp"
@@ -37,6 +38,8 @@
     return {};
 }
 
+AttemptResult endedWith(AttemptStatus status) { return AttemptResult{status, false, {}, {}, {}}; }
+
 }  // namespace
 
 AttemptResult interpretResponse(const http::Message& response) {
@@ -117,29 +120,38 @@
     threads_.clear();
 }
 
+/// Counts and logs a connect to an endpoint.
+void Delivery::logConnect(const DueAttempt& dueAttempt, const EndpointConnection& connection,
+                          std::string_view outcome, net::Deadline begunAt) {
+    metrics::counter("endpoint_connects_total", "outcome", outcome).add();
+    (log::debug() << "connect to an endpoint")
+        .kv("id", dueAttempt.id)
+        .kv("connection", connection.id())
+        .kv("endpoint", dueAttempt.endpoint)
+        .kv("outcome", outcome)
+        .kv("took_ms", (net::Steady::now() - begunAt) / milliseconds(1));
+}
+
 AttemptResult Delivery::deliver(const DueAttempt& dueAttempt) {
     const auto address = net::parseAddress(dueAttempt.address);
     if (!address) return {};
-    net::Fd fd = idleConnections_.acquire(dueAttempt.endpoint, dueAttempt.address);
+    auto idle = idleConnections_.acquire(dueAttempt.endpoint, dueAttempt.address);
     for (;;) {
-        const bool reused = static_cast<bool>(fd);
+        auto connection = idle
+                              ? std::move(*std::exchange(idle, std::nullopt))
+                              : EndpointConnection(dueAttempt.endpoint, dueAttempt.address, net::tcpSocket());
+        if (connection.fd() < 0) return endedWith(AttemptStatus::unsent);  // no file descriptor is free
+        const bool reused = connection.isConnected();
         bool keep = false;
-        if (!reused) fd = net::tcpSocket();
-        if (!fd)
-            return AttemptResult{AttemptStatus::unsent, false, {}, {}, {}};  // no file descriptor is free
-        const AttemptResult result = sendRequest(dueAttempt, *address, fd.get(), reused, keep);
+        const AttemptResult result = sendRequest(dueAttempt, *address, connection, keep);
         // The connection is released only here, where a cancellation of this attempt can't shut it any more.
         if (keep) {
-            idleConnections_.release(dueAttempt.endpoint, dueAttempt.address, std::move(fd));
+            idleConnections_.release(std::move(connection));
         } else {
             const auto reason = decisions::name(result.status);
             metrics::counter("attempt_connections_closed_total", "after", reason).add();
-            (log::debug() << "closing connection after an attempt")
-                .kv("id", dueAttempt.id)
-                .kv("endpoint", dueAttempt.endpoint)
-                .kv("after", reason);
+            connection.close(reason, dueAttempt.id);
         }
-        fd.reset();
         // An endpoint starts on a request only after its last byte: a reused connection that broke before
         // that is no failure, and the request is sent again on a new one.
         if (!reused || result.status != AttemptStatus::noConnection ||
@@ -151,11 +163,13 @@
     }
 }
 
-AttemptResult Delivery::sendRequest(const DueAttempt& dueAttempt, const net::Address& address, int fd,
-                                    bool reused, bool& keep) {
-    const auto endedWith = [](AttemptStatus status) { return AttemptResult{status, false, {}, {}, {}}; };
+AttemptResult Delivery::sendRequest(const DueAttempt& dueAttempt, const net::Address& address,
+                                    EndpointConnection& connection, bool& keep) {
+    const int fd = connection.fd();
+    const bool reused = connection.isConnected();
     if (dueAttempt.cancelToken.stop_requested()) return endedWith(AttemptStatus::unsent);
-    const auto until = std::min(dueAttempt.tryUntil, net::Steady::now() + config_.settings.connectTimeout);
+    const auto begunAt = net::Steady::now();
+    const auto until = std::min(dueAttempt.tryUntil, begunAt + config_.settings.connectTimeout);
     const auto start = reused ? net::ConnectStart::started : net::beginConnect(fd, address);
     if (start == net::ConnectStart::localFailure) {
         log::debug() << "attempt for message " << dueAttempt.id
@@ -166,9 +180,17 @@
     // Set up after the connect has begun: shutting a socket before that has no effect, and a connect to an
     // address that does not respond would delay a planned stop.
     const std::stop_callback shutOnCancel(dueAttempt.cancelToken, [fd] { net::shutdownBoth(fd); });
-    if (!reused && !(begun && net::finishConnect(fd, until)))
-        return endedWith(dueAttempt.cancelToken.stop_requested() ? AttemptStatus::unsent
-                                                                 : AttemptStatus::noConnection);
+    if (!reused) {
+        const bool connected = begun && net::finishConnect(fd, until);
+        const bool cancelled = dueAttempt.cancelToken.stop_requested();
+        logConnect(dueAttempt, connection,
+                   connected   ? "connected"
+                   : cancelled ? "cancelled"
+                               : "failed",
+                   begunAt);
+        if (!connected) return endedWith(cancelled ? AttemptStatus::unsent : AttemptStatus::noConnection);
+        connection.setConnected();
+    }
     // Bytes that arrived on an idle connection belong to an earlier request. Checked before the attempt is
     // recorded, so that an attempt that was never sent is not recorded, and again after it, as recording may
     // have taken long.
@@ -187,8 +209,9 @@
     if (net::sendAll(fd, request, dueAttempt.tryUntil) != net::IoResult::done)
         return endedWith(AttemptStatus::noConnection);
     const auto sentAt = net::Steady::now();
+    connection.requestSent();
     decisions_.recordSent(dueAttempt, firstByteAt);
-    auto result = receiveResponse(dueAttempt, fd, keep);
+    auto result = receiveResponse(dueAttempt, connection, sentAt, keep);
     result.stale = reused && result.status == AttemptStatus::reset &&
                    net::Steady::now() - sentAt < kStaleConnectionWindow;
     return result;
@@ -199,37 +222,45 @@
 // next request. So a response must end within kResponseRemainderTimeout of its first byte and within
 // kMaxResponseBytes; otherwise its status line alone decides and the connection is closed. A status of 200
 // counts as delivered whatever follows it.
-AttemptResult Delivery::receiveResponse(const DueAttempt& dueAttempt, int fd, bool& keep) {
-    using State = http::Parser::State;
-    http::Parser parser(http::Parser::Role::response);
-    auto until = dueAttempt.tryUntil;
-    auto io = net::IoResult::done;
-    std::size_t bytes = 0;
-    bool begun = false;
-    while (parser.state() != State::complete && parser.state() != State::bad && bytes < kMaxResponseBytes) {
-        std::string received;
-        io = net::receive(fd, received, until);
-        if (io != net::IoResult::done) break;
-        bytes += received.size();
-        parser.feed(received);
-        // 1xx responses are interim; the final response may still take until the end of the attempt.
-        while (parser.state() == State::complete && parser.message().status < 200) parser.next();
-        if (!begun && parser.begun()) until = std::min(until, net::Steady::now() + kResponseRemainderTimeout);
-        begun = parser.begun();
-        if (!begun) until = dueAttempt.tryUntil;
-    }
-    const auto endedWith = [](AttemptStatus status) { return AttemptResult{status, false, {}, {}, {}}; };
-    keep = parser.state() == State::complete && parser.message().keepsAlive() && parser.leftover() == 0;
-    // Without a length the body would last until the connection closes; only the head matters.
-    if (parser.state() == State::complete || parser.finish() == State::complete)
-        return interpretResponse(parser.message());
-    if (parser.message().status == 200) return endedWith(AttemptStatus::delivered);
+AttemptResult Delivery::receiveResponse(const DueAttempt& dueAttempt, EndpointConnection& connection,
+                                        net::Deadline sentAt, bool& keep) {
+    using http_client::Completeness;
+    const auto response = http_client::receiveResponse(connection.fd(), dueAttempt.tryUntil,
+                                                       {{}, kMaxResponseBytes, kResponseRemainderTimeout});
+    logResponse(dueAttempt, connection, response, sentAt);
+    keep = response.keepsAlive();
+    connection.responseReceived(response);
+    if (response.isComplete()) return interpretResponse(response.message);
+    if (response.message.status == 200) return endedWith(AttemptStatus::delivered);
     if (dueAttempt.cancelToken.stop_requested()) return endedWith(AttemptStatus::cancelled);
-    if (!begun)
-        return endedWith(io == net::IoResult::timedOut ? AttemptStatus::timedOut : AttemptStatus::reset);
-    if (io == net::IoResult::closed || io == net::IoResult::broken) return endedWith(AttemptStatus::reset);
+    if (response.completeness == Completeness::none)
+        return endedWith(response.lastIo == net::IoResult::timedOut ? AttemptStatus::timedOut
+                                                                    : AttemptStatus::reset);
+    if (response.lastIo == net::IoResult::closed || response.lastIo == net::IoResult::broken)
+        return endedWith(AttemptStatus::reset);
     log::info() << "the response of endpoint " << dueAttempt.endpoint << " is malformed";
     return endedWith(AttemptStatus::error);
 }
 
+/// Counts and logs what came back for a request, and on which connection.
+void Delivery::logResponse(const DueAttempt& dueAttempt, const EndpointConnection& connection,
+                           const http_client::ReceivedResponse& response, net::Deadline sentAt) {
+    const auto resemblance = connection.history().compare(response.bytes);
+    if (!connection.history().empty())
+        metrics::counter("responses_on_reused_connections_total", "resemblance", name(resemblance)).add();
+    auto line = log::debug();
+    (line << "response received")
+        .kv("id", dueAttempt.id)
+        .kv("call", dueAttempt.attempt + 1)
+        .kv("connection", connection.id())
+        .kv("request", connection.requests())
+        .kv("endpoint", dueAttempt.endpoint)
+        .kv("status", response.message.status)
+        .kv("received", name(response.completeness))
+        .kv("resemblance", name(resemblance))
+        .kv("bytes", response.bytes.size())
+        .kv("leftover", response.leftover);
+    if (response.firstByteAt) line.kv("first_byte_ms", (*response.firstByteAt - sentAt) / milliseconds(1));
+}
+
 }  // namespace laurelhaven::delivery
--- a/src/delivery/delivery.hpp
+++ b/src/delivery/delivery.hpp
@@ -2,10 +2,12 @@
 // between requests.
 #pragma once
 
+#include <string_view>
 #include <vector>
 
 #include "config/config.hpp"
 #include "decisions/decisions.hpp"
+#include "delivery/endpoint_connection.hpp"
 #include "delivery/idle.hpp"
 #include "http/message.hpp"
 #include "threads/thread.hpp"
@@ -28,10 +30,17 @@
 
   private:
     decisions::AttemptResult deliver(const decisions::DueAttempt& dueAttempt);
-    /// Makes one try on the connection `fd`. `keep`: set if the connection can carry another request.
+    /// Makes one try on the connection. `keep`: set if the connection can carry another request.
     decisions::AttemptResult sendRequest(const decisions::DueAttempt& dueAttempt, const net::Address& address,
-                                         int fd, bool reused, bool& keep);
-    decisions::AttemptResult receiveResponse(const decisions::DueAttempt& dueAttempt, int fd, bool& keep);
+                                         EndpointConnection& connection, bool& keep);
+    /// `sentAt`: when the last byte of the request was written.
+    decisions::AttemptResult receiveResponse(const decisions::DueAttempt& dueAttempt,
+                                             EndpointConnection& connection, net::Deadline sentAt,
+                                             bool& keep);
+    static void logConnect(const decisions::DueAttempt& dueAttempt, const EndpointConnection& connection,
+                           std::string_view outcome, net::Deadline begunAt);
+    static void logResponse(const decisions::DueAttempt& dueAttempt, const EndpointConnection& connection,
+                            const http_client::ReceivedResponse& response, net::Deadline sentAt);
 
     const config::Config& config_;
     decisions::Decisions& decisions_;
--- a/src/delivery/idle.cpp
+++ b/src/delivery/idle.cpp
@@ -2,6 +2,7 @@
 
 #include <iterator>
 #include <string_view>
+#include <utility>
 
 #include "log/log.hpp"
 #include "metrics/metrics.hpp"
@@ -9,37 +10,59 @@
 namespace laurelhaven::delivery {
 namespace {
 
-/// Counts and logs why an idle connection is closed.
-void logClose(const std::string& endpoint, std::string_view reason) {
+/// Counts and logs why an idle connection is closed. `detail`: for the log, if it says more than the reason.
+void closeIdle(EndpointConnection& connection, std::string_view reason, std::string_view detail = {}) {
     metrics::counter("idle_connections_closed_total", "reason", reason).add();
-    (log::debug() << "closing idle connection").kv("endpoint", endpoint).kv("reason", reason);
+    connection.close(detail.empty() ? reason : detail);
+}
+
+/// Closes an idle connection on which the endpoint has done something, and logs what.
+void closeUnsolicited(EndpointConnection& connection, net::UnreadState unread) {
+    if (unread != net::UnreadState::bytes)
+        return closeIdle(connection, "by_endpoint",
+                         unread == net::UnreadState::end ? "ended_by_endpoint" : "broken");
+    const auto resemblance = connection.history().compare(net::peekArrived(connection.fd()));
+    metrics::counter("unsolicited_responses_total", "resemblance", name(resemblance)).add();
+    (log::debug() << "bytes arrived on an idle connection")
+        .kv("connection", connection.id())
+        .kv("endpoint", connection.endpoint())
+        .kv("resemblance", name(resemblance));
+    closeIdle(connection, "by_endpoint", "unsolicited_bytes");
 }
 
 }  // namespace
 
-net::Fd IdleConnections::acquire(const std::string& endpoint, const std::string& address) {
+std::optional<EndpointConnection> IdleConnections::acquire(const std::string& endpoint,
+                                                           const std::string& address) {
     const std::lock_guard lock(mutex_);
     const auto now = net::Steady::now();
     for (auto it = entries_.end(); it != entries_.begin();) {
         --it;
-        if (it->endpoint != endpoint || it->address != address || now < it->reusableAt) continue;
-        net::Fd fd = std::move(it->fd);
-        const bool fresh = now < it->expiresAt;
+        if (it->connection.endpoint() != endpoint || it->connection.address() != address ||
+            now < it->reusableAt)
+            continue;
+        auto connection = std::move(it->connection);
+        const bool expired = now >= it->expiresAt;
         it = entries_.erase(it);
+        if (expired) {
+            closeIdle(connection, "expired");
+            continue;
+        }
         // A connection that the endpoint has closed or reset would end the next request as a reset.
-        if (fresh && net::isIdle(fd.get())) return fd;
-        logClose(endpoint, fresh ? "by_endpoint" : "expired");
+        const auto unread = net::unreadState(connection.fd());
+        if (unread == net::UnreadState::nothing) return connection;
+        closeUnsolicited(connection, unread);
     }
     return {};
 }
 
-void IdleConnections::release(const std::string& endpoint, const std::string& address, net::Fd fd) {
+void IdleConnections::release(EndpointConnection connection) {
     const std::lock_guard lock(mutex_);
-    if (stopped_) return;
+    if (stopped_) return connection.close("stopping");
     const auto now = net::Steady::now();
-    entries_.push_back({endpoint, address, std::move(fd), now + reuseDelay_, now + keepAlive_});
+    entries_.push_back({std::move(connection), now + reuseDelay_, now + keepAlive_});
     if (entries_.size() > maxConnections_) {
-        logClose(entries_.front().endpoint, "pool_full");
+        closeIdle(entries_.front().connection, "pool_full");
         entries_.pop_front();
     }
     if (entries_.size() == 1) changed_.notify_one();
@@ -47,9 +70,9 @@
 
 void IdleConnections::closeEndpoint(const std::string& endpoint) {
     const std::lock_guard lock(mutex_);
-    std::erase_if(entries_, [&](const Entry& e) {
-        if (e.endpoint != endpoint) return false;
-        logClose(endpoint, "not_wanted");
+    std::erase_if(entries_, [&](Entry& entry) {
+        if (entry.connection.endpoint() != endpoint) return false;
+        closeIdle(entry.connection, "not_wanted");
         return true;
     });
 }
@@ -59,7 +82,7 @@
     while (!stopped_) {
         const auto now = net::Steady::now();
         while (!entries_.empty() && entries_.front().expiresAt <= now) {
-            logClose(entries_.front().endpoint, "expired");
+            closeIdle(entries_.front().connection, "expired");
             entries_.pop_front();
         }
         if (entries_.empty()) {
@@ -70,6 +93,7 @@
         const auto next = entries_.front().expiresAt;
         changed_.wait_until(lock, next);
     }
+    for (auto& entry : entries_) entry.connection.close("stopping");
     entries_.clear();
 }
 
--- a/src/delivery/idle.hpp
+++ b/src/delivery/idle.hpp
@@ -5,9 +5,10 @@
 #include <condition_variable>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 
-#include "net/socket.hpp"
+#include "delivery/endpoint_connection.hpp"
 
 namespace laurelhaven::delivery {
 
@@ -18,9 +19,6 @@
 
 /// Pool of idle connections. Thread-safe.
 ///
-/// Connections are found by endpoint id and address: a new endpoint may take over the address of one that has
-/// gone, and connections to the old endpoint must not carry requests to the new one.
-///
 /// A duplicate of a response may arrive right after it, and would be taken for the response to the next
 /// request, whose own response would then go to the request after it, and so on. So a connection is reused
 /// only after a delay, and only if nothing has been received on it in the meantime.
@@ -33,8 +31,8 @@
         : reuseDelay_(reuseDelay), keepAlive_(keepAlive), maxConnections_(maxConnections) {}
     /// Returns the most recently used connection whose reuse delay has passed and that has neither been
     /// closed by the endpoint nor received anything; empty if there is none.
-    net::Fd acquire(const std::string& endpoint, const std::string& address);
-    void release(const std::string& endpoint, const std::string& address, net::Fd fd);
+    std::optional<EndpointConnection> acquire(const std::string& endpoint, const std::string& address);
+    void release(EndpointConnection connection);
     /// Closes all idle connections to the endpoint.
     void closeEndpoint(const std::string& endpoint);
     /// Closes each connection when its keep-alive time has passed. Returns after stop().
@@ -43,8 +41,7 @@
 
   private:
     struct Entry {
-        std::string endpoint, address;
-        net::Fd fd;
+        EndpointConnection connection;
         net::Deadline reusableAt, expiresAt;
     };
     std::chrono::nanoseconds reuseDelay_, keepAlive_;
--- a/src/front/client_connection.cpp
+++ b/src/front/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "front/client_connection.hpp"
 
+#include <atomic>
 #include <chrono>
 
 #include "log/log.hpp"
@@ -25,10 +26,20 @@
 /// Counts a response, with one counter per status.
 void countAnswer(int status) { metrics::counter("answers_total", "status", std::to_string(status)).add(); }
 
+std::uint64_t nextId() {
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(net::Fd fd, RequestHandler& handler, net::Deadline now)
-    : fd_(std::move(fd)), handler_(handler), since_(now), deadline_(now + kReadTimeout), receivedAt_(now) {}
+    : id_(nextId()),
+      fd_(std::move(fd)),
+      handler_(handler),
+      since_(now),
+      deadline_(now + kReadTimeout),
+      receivedAt_(now) {}
 
 void ClientConnection::setPhase(Phase phase, net::Deadline now) {
     phase_ = phase;
@@ -118,6 +129,12 @@
     const bool keep =
         !askedToClose_ && response.mayKeepAlive && request.keepsAlive() && !handler_.isStopping();
     countAnswer(response.status);
+    const auto* messageId = request.headers.find("Req-Id");
+    (log::debug() << "client request answered")
+        .kv("client_connection", id_)
+        .kv("id", messageId ? std::string_view(*messageId) : std::string_view())
+        .kv("status", response.status)
+        .kv("keeps_alive", keep ? "yes" : "no");
     acceptedId_ = std::move(response.acceptedId);
     const std::string_view body = request.method == "HEAD" ? std::string_view() : response.body;
     write(http::formatResponse(response.status, response.fields, body, keep),
@@ -128,8 +145,9 @@
 void ClientConnection::reject(int status, std::string_view reason, net::Deadline now) {
     setPhase(Phase::answering, now);
     countAnswer(status);
-    log::debug() << "rejecting client request with status " << status << ": "
-                 << reason.substr(0, reason.size() - 1);
+    (log::debug() << "rejecting client request with status " << status << ": "
+                  << reason.substr(0, reason.size() - 1))
+        .kv("client_connection", id_);
     http::Fields fields;
     if (status == 503) fields.emplace_back("Retry-After", kRetryAfterSeconds);
     write(http::formatResponse(status, fields, reason, false), AfterWrite::drain, now);
@@ -182,7 +200,9 @@
 /// Counts and logs a connection that is closed without a response.
 void ClientConnection::closeWithoutResponse(std::string_view reason) {
     metrics::counter("connections_closed_total", "reason", reason).add();
-    log::debug() << "closing client connection without a response: " << reason;
+    (log::debug() << "closing client connection without a response: " << reason)
+        .kv("client_connection", id_)
+        .kv("id", acceptedId_);
     close();
 }
 
--- a/src/front/client_connection.hpp
+++ b/src/front/client_connection.hpp
@@ -2,6 +2,7 @@
 // waiting. Its owner calls it when the socket is ready or the deadline has passed.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -79,6 +80,7 @@
     void closeWithoutResponse(std::string_view reason);
     void close();
 
+    const std::uint64_t id_;  // for the log
     net::Fd fd_;
     RequestHandler& handler_;
     http::Parser parser_{http::Parser::Role::request};
--- /dev/null
+++ b/src/http_client/response_history.hpp
@@ -0,0 +1,45 @@
+// The responses that one connection has carried, for comparison with the next one.
+//
+// HTTP/1.1 responses carry no reference to their request: a client matches them by their order alone. A
+// duplicate of an earlier response shifts that order. Such a duplicate has the same bytes as the original,
+// which is the only way to recognise it.
+//
+// No I/O. Not thread-safe.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <string_view>
+
+namespace laurelhaven::http_client {
+
+/// What a response, as far as it was received, has in common with an earlier one.
+enum class Resemblance {
+    none,       ///< it differs from all earlier ones, so it is no duplicate
+    duplicate,  ///< it has the same bytes
+    truncated,  ///< its bytes are the beginning of an earlier one
+    spliced     ///< it begins like an earlier one and goes on with the beginning of a response
+};
+/// The name used in logs and metrics.
+std::string_view name(Resemblance resemblance);
+
+class ResponseHistory {
+  public:
+    /// Adds a complete response. Only the last few different ones are kept, and only their first bytes.
+    void add(std::string_view bytes);
+    Resemblance compare(std::string_view bytes) const;
+    bool empty() const { return responses_.empty(); }
+
+  private:
+    struct Response {
+        std::string beginning;
+        std::size_t size;
+    };
+    static Resemblance compare(const Response& earlier, std::string_view bytes);
+    static bool isDuplicate(const Response& earlier, std::string_view bytes);
+
+    std::deque<Response> responses_;  // the oldest first
+};
+
+}  // namespace laurelhaven::http_client
--- /dev/null
+++ b/src/http_client/response_reader.hpp
@@ -0,0 +1,51 @@
+// Reads the response to a request from a socket, for all clients in this program.
+//
+// No state. Safe for use by several threads, each with a socket of its own.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "http/message.hpp"
+#include "net/socket.hpp"
+
+namespace laurelhaven::http_client {
+
+/// How much of the response has been received.
+enum class Completeness {
+    none,       ///< not a byte, or only interim (1xx) responses
+    partial,    ///< it broke off: the connection ended, or its time or its size was up
+    malformed,  ///< it can't be parsed
+    complete
+};
+/// The name used in logs.
+std::string_view name(Completeness completeness);
+
+struct ReceivedResponse {
+    http::Message message;  ///< as far as it could be parsed; status 0: not that far
+    Completeness completeness = Completeness::none;
+    net::IoResult lastIo = net::IoResult::done;  ///< how the last read ended
+    std::string bytes;         ///< as received, without interim responses and what follows the response
+    std::size_t leftover = 0;  ///< bytes that followed it
+    std::optional<net::Deadline> firstByteAt;  ///< of the response itself
+
+    bool untilClose = false;  ///< the body has no length and lasts until the connection closes
+
+    bool isComplete() const { return completeness == Completeness::complete; }
+    /// True if another request may be sent after this response.
+    bool keepsAlive() const { return isComplete() && !untilClose && leftover == 0 && message.keepsAlive(); }
+};
+
+struct ReadLimits {
+    http::Limits http;
+    std::size_t totalBytes = 128 * 1024;  ///< the response with its interim responses
+    /// Time from the first byte to the last one.
+    std::chrono::milliseconds remainder = std::chrono::hours(1);
+};
+
+/// Reads one final response; interim (1xx) responses before it are skipped. Ends at the deadline.
+ReceivedResponse receiveResponse(int fd, net::Deadline until, const ReadLimits& limits);
+
+}  // namespace laurelhaven::http_client
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSocketRetryPause{20};  // between attempts to create a socket
+constexpr std::size_t kMaxReadBytes = 4096;  // small, as many threads have it on their small stacks
 
 /// Waits for any of the events. False if the deadline passes first.
 bool waitForEvents(int fd, short events, Deadline until) {
@@ -147,7 +148,7 @@
 }
 
 IoResult receiveArrived(int fd, std::string& into) {
-    char bytes[4096];  // small, as many threads have it on their small stacks
+    char bytes[kMaxReadBytes];
     for (;;) {
         const auto got = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
         if (got > 0) {
@@ -172,6 +173,15 @@
     }
 }
 
+std::string peekArrived(int fd) {
+    char bytes[kMaxReadBytes];
+    ssize_t got = -1;
+    do {
+        got = recv(fd, bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+    } while (got < 0 && errno == EINTR);
+    return got > 0 ? std::string(bytes, static_cast<std::size_t>(got)) : std::string();
+}
+
 bool hasPendingConnection(int listener) {
     pollfd pending{listener, POLLIN, 0};
     int found = -1;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -102,6 +102,8 @@
 };
 /// Looks without waiting, and consumes nothing.
 UnreadState unreadState(int fd);
+/// Returns up to 4096 of the bytes that have arrived. Neither waits nor consumes them.
+std::string peekArrived(int fd);
 /// True while a listener has a connection that is not yet accepted.
 bool hasPendingConnection(int listener);
 /// True if there is nothing to read and the peer has not closed, so that an idle connection can be reused.
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -71,10 +71,14 @@
         static constexpr std::array<std::string_view, 4> kResultNames{"heard", "unreadable", "none", "local"};
         const auto resultName = kResultNames[static_cast<std::size_t>(result)];
         metrics::counter("notice_posts_total", "answer", resultName).add();
-        (log::debug() << "notices posted")
-            .kv("answer", resultName)
-            .kv("first", ids.front())
-            .kv("count", ids.size());
+        if (log::enabled(log::Level::debug))
+            for (const auto& id : ids)
+                (log::debug() << "notice posted")
+                    .kv("id", id)
+                    .kv("answer", resultName)
+                    .kv("connection", connectionNumber_)
+                    .kv("post", postsOnConnection_)
+                    .kv("in_one_post", ids.size());
         if (result == PostResult::rejected && ids.size() > 1) {
             oneByOne_ = true;  // an unreadable notice must not hold up the others
             continue;
@@ -119,7 +123,12 @@
                                                     const std::string& body) {
     if (fd_ && (connectedAddress_ != location.address.text || !net::isIdle(fd_.get()))) fd_.reset();
     const bool reused = static_cast<bool>(fd_);
-    if (!reused) fd_ = net::tcpSocket();
+    if (!reused) {
+        fd_ = net::tcpSocket();
+        ++connectionNumber_;
+        postsOnConnection_ = 0;
+    }
+    ++postsOnConnection_;
     connectedAddress_ = location.address.text;
     bool keepOpen = false;
     const PostResult result = fd_ ? exchange(location, body, reused, keepOpen) : PostResult::localError;
--- a/src/notices/notices.hpp
+++ b/src/notices/notices.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <mutex>
@@ -72,6 +73,7 @@
     bool oneByOne_ = false;         // one notice per request, to find the one that the platform rejects
     net::Fd fd_;                    // used by the thread only, as is connectedAddress_
     std::string connectedAddress_;  // the address that fd_ is connected to
+    std::uint64_t connectionNumber_ = 0, postsOnConnection_ = 0;  // for the log; used by the thread only
     std::stop_source stop_;
     threads::Thread thread_;
 };
