--- /dev/null
+++ b/tests/program/response_of_another_request_test.cpp
@@ -0,0 +1,185 @@
+// A response that arrives behind the next request on its connection, played with a real sender, endpoint and
+// platform, and a proxy between them that sends responses twice.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+
+#include "log/log.hpp"
+#include "program.hpp"
+#include "proxy/fault_proxy.hpp"
+#include "standin/server.hpp"
+
+namespace {
+
+using namespace laurelhaven;
+using namespace check;
+using lab::AddedBytes;
+using lab::PassedResponse;
+
+constexpr int kDeadlineMs = 3000;
+constexpr milliseconds kPatience{6000};  // within which each message has its end, whatever happens
+// The connection may be used again by then.
+constexpr milliseconds kRest{40};
+
+struct Reply {
+    int status = 200;
+    milliseconds takes{60};
+    http::Fields fields;
+};
+
+std::string withEffect(const std::string& effect) {
+    auto text = settings();
+    const std::string usual = R"("effect":"token")";
+    return text.replace(text.find(usual), usual.size(), R"("effect":")" + effect + R"(")");
+}
+
+std::string idOf(const http::Message& request) {
+    const auto* id = request.headers.find("Req-Id");
+    return id ? *id : std::string();
+}
+
+/// The endpoint. Its 200s differ from each other, as their bodies do.
+class Endpoint {
+  public:
+    Endpoint() { server_.start(); }
+    std::string address() const { return server_.address(); }
+    /// The replies to the calls for this message; once they are used up, 200.
+    void reply(const std::string& id, std::deque<Reply> replies) {
+        const std::lock_guard lock(mutex_);
+        replies_[id] = std::move(replies);
+    }
+    int calls(const std::string& id) { return count(calls_, id); }
+    int deliveries(const std::string& id) { return count(deliveries_, id); }
+
+  private:
+    int count(std::map<std::string, int>& counts, const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        return counts[id];
+    }
+    Reply begin(const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        ++calls_[id];
+        ++number_;
+        auto& waiting = replies_[id];
+        if (waiting.empty()) return {};
+        const auto reply = waiting.front();
+        waiting.pop_front();
+        return reply;
+    }
+    bool answer(const http::Message& request, lab::Connection& connection) {
+        const auto id = idOf(request);
+        const auto reply = begin(id);
+        if (!connection.pause(reply.takes)) return false;
+        const std::string body = reply.status == 200 ? "run " + id : "";
+        if (reply.status == 200) {
+            const std::lock_guard lock(mutex_);
+            ++deliveries_[id];
+        }
+        return connection.send(http::formatResponse(reply.status, reply.fields, body, true));
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, std::deque<Reply>> replies_;
+    std::map<std::string, int> calls_, deliveries_;
+    int number_ = 0;
+    lab::Server server_{"127.0.0.1:0",
+                        [this](const http::Message& m, lab::Connection& c) { return answer(m, c); }};
+};
+
+class ResponseOfAnotherRequest : public testing::Test {
+  protected:
+    ResponseOfAnotherRequest() { log::setLevel(log::Level::off); }
+    ~ResponseOfAnotherRequest() override { EXPECT_EQ(program_->end(SIGTERM), 0); }
+
+    /// The response to the next call for this message comes once more, with the next request.
+    void sendAgain(const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        sentAgain_ = id;
+    }
+    std::optional<AddedBytes> added(const PassedResponse& response) {
+        const std::lock_guard lock(mutex_);
+        if (sentAgain_.empty() || idOf(response.request) != sentAgain_) return {};
+        sentAgain_.clear();
+        return AddedBytes{response.bytes, {}};
+    }
+    void start(const std::string& effect) {
+        const auto entries = entry("a", endpointProxy_.address(), 7);
+        platform_.watch = list(9, true, entries) + "\n";
+        program_ = std::make_unique<Program>(folder_.path, platform_, entries);
+        program_->end(SIGKILL);
+        program_->configure(
+            configuration(local(program_->port()), platformProxy_.address(), entries, withEffect(effect)));
+        program_->start();
+    }
+    void handInMessage(const std::string& id) { ASSERT_EQ(program_->status(handIn(id, kDeadlineMs)), 202); }
+    void deliver(const std::string& id) {
+        handInMessage(id);
+        await([&] { return endpoint_.deliveries(id) == 1; });
+        std::this_thread::sleep_for(kRest);
+    }
+    bool within(milliseconds span, const std::function<bool()>& done) {
+        for (const auto until = net::Steady::now() + span; !done();) {
+            if (net::Steady::now() > until) return false;
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return true;
+    }
+    bool ends(const std::string& id) {
+        return within(kPatience, [&] { return endpoint_.deliveries(id) > 0 || platform_.of(id) > 0; });
+    }
+
+    const Folder folder_;
+    Endpoint endpoint_;
+    Platform platform_;
+    std::mutex mutex_;
+    std::string sentAgain_;
+    std::atomic<int> acknowledgedTwice_{0};
+    lab::FaultProxy endpointProxy_{endpoint_.address(),
+                                   [this](const PassedResponse& response) { return added(response); }};
+    lab::FaultProxy platformProxy_{platform_.stub.at(),
+                                   [this](const PassedResponse& response) -> std::optional<AddedBytes> {
+                                       if (response.status != 204) return {};
+                                       ++acknowledgedTwice_;
+                                       return AddedBytes{response.bytes, {}};
+                                   }};
+    std::unique_ptr<Program> program_;
+};
+
+TEST_F(ResponseOfAnotherRequest, ACopyOfAnEarlier200LosesNoMessage) {
+    start("token");
+    deliver("first");
+    sendAgain("second");
+    deliver("second");
+    endpoint_.reply("third", {{503, milliseconds(100), {}}});
+    handInMessage("third");
+    EXPECT_TRUE(ends("third")) << "calls: " << endpoint_.calls("third");
+    EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the third request";
+}
+
+TEST_F(ResponseOfAnotherRequest, ACopyOfAnEarlierRejectionRunsNoMessageTwice) {
+    start("side_effect");
+    deliver("first");
+    endpoint_.reply("second", {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
+    sendAgain("second");
+    handInMessage("second");
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.deliveries("second") > 0; }));
+    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
+    EXPECT_EQ(endpoint_.deliveries("second"), 1);
+    EXPECT_LE(endpoint_.calls("second"), 2);
+}
+
+TEST_F(ResponseOfAnotherRequest, ACopyOfAnAcknowledgementLosesNoNotice) {
+    start("side_effect");
+    endpoint_.reply("first", {{500, milliseconds(10), {}}});
+    handInMessage("first");
+    EXPECT_TRUE(ends("first"));
+    await([&] { return acknowledgedTwice_ == 1; });
+    std::this_thread::sleep_for(kRest);
+    platform_.deaf = 1;
+    endpoint_.reply("second", {{500, milliseconds(10), {}}});
+    handInMessage("second");
+    EXPECT_TRUE(ends("second"));
+}
+
+}  // namespace
