Hold no end against a sender that was killed as its endpoint wrote 200

A trace of four failures shows the same each time: the endpoint writes 200 between the beginning and the end of SIGKILL (5332.2594 in 5332.2594 to .2597; 5285.5159 in .5155 to .5162; 5304.1087 in .1084 to .1089; 5310.1815 in .1812 to .1819). No sender can read that; the next run repeats the message by its key, and ends it where no repeat succeeds. The platform allows a notice for a message that is over. Change: a message whose 200 was written within 20 ms of a kill may have both ends; every other one is held to exactly one, as before.

--- a/tests/lab/faults_test.cpp
+++ b/tests/lab/faults_test.cpp
@@ -35,6 +35,7 @@
 constexpr milliseconds kBusy{1150};
 constexpr milliseconds kInTime = milliseconds(350) + kBusy;
 constexpr milliseconds kExit = milliseconds(3500) + kBusy;
+constexpr milliseconds kAroundAKill{20};  // for an answer to be read and put on record, and noted here
 
 void await(const std::function<bool()>& done, const char* what) {
     for (const auto until = Steady::now() + kHang; !done(); std::this_thread::sleep_for(milliseconds(3)))
@@ -73,7 +74,8 @@
         const std::lock_guard lock(mutex_);
         waitUntil_ = {};
     }
-    std::set<std::string> delivered() const {
+    /// The messages that were answered 200, and when first.
+    std::map<std::string, Moment> delivered() const {
         const std::lock_guard lock(mutex_);
         return delivered_;
     }
@@ -113,7 +115,7 @@
                                                    : act.raw);
             if (keep && act.status == 200 && act.raw.empty()) {
                 const std::lock_guard lock(mutex_);
-                delivered_.insert(record.id);
+                delivered_.try_emplace(record.id, Steady::now());
             }
         }
         record.at = Steady::now();
@@ -127,7 +129,7 @@
     Script script_;
     std::atomic<int> calls_{0};
     mutable std::mutex mutex_;
-    std::set<std::string> delivered_;
+    std::map<std::string, Moment> delivered_;
     Moment waitFrom_{}, waitUntil_{};
     Server server_;
 };
@@ -204,6 +206,23 @@
             if (point->delivered().count(id)) return true;
         return false;
     }
+    void kill() {
+        const auto from = Steady::now();
+        sender->kill();
+        kills_.push_back({from, Steady::now()});
+    }
+    /// The 200 was written around a kill, so the sender need not have read it.
+    bool deliveredAtAKill(const std::string& id) const {
+        for (const auto& point : points_) {
+            const auto delivered = point->delivered();
+            const auto it = delivered.find(id);
+            if (it == delivered.end()) continue;
+            for (const auto& kill : kills_)
+                if (it->second >= kill.from - kAroundAKill && it->second <= kill.to + kAroundAKill)
+                    return true;
+        }
+        return false;
+    }
     std::size_t delivered() const {
         std::size_t n = 0;
         for (const auto& [id, due] : taken_) n += deliveredAt(id);
@@ -228,7 +247,8 @@
         const auto notices = discovery_.notices();
         for (const auto& [id, due] : taken_) {
             const auto it = notices.find(id);
-            EXPECT_NE(deliveredAt(id), it != notices.end()) << id << " has two ends or none";
+            EXPECT_TRUE(deliveredAtAKill(id) || deliveredAt(id) != (it != notices.end()))
+                << id << " has two ends or none";
             if (it == notices.end()) continue;
             EXPECT_FALSE(it->second.contradicted) << id;
             if (timed) {
@@ -274,6 +294,10 @@
     Discovery discovery_{"127.0.0.1:0"};
     std::vector<std::unique_ptr<Point>> points_;
     std::map<std::string, Moment> taken_;
+    struct Kill {
+        Moment from, to;
+    };
+    std::vector<Kill> kills_;
 };
 
 // ---- what an endpoint does: connect, write, await, record ----
@@ -556,7 +580,7 @@
     for (int round = 0; round < 6; ++round) {
         for (int i = 0; i < 12; ++i) world.hand("m" + std::to_string(round * 100 + i), milliseconds(14000));
         std::this_thread::sleep_for(milliseconds(7 * round));
-        world.sender->kill();
+        world.kill();
         world.begin();
     }
     world.settle(false);
