Owe an end to a message whose 200 comes behind its deadline

Cause: an attempt waits until its message's deadline at the latest, but a wait in poll() ends up to 1 ms later, and a sender that gets no processor time just then reads later still. What was there by then was read, and a 200 counted as a delivery, though it was written after the time of the message. So no notice followed. Why this works: rules::deliversInTime() judges the arrival of the response, not the time of its processing, with a margin of 20 ms for the way of the request from its client and of the response from its endpoint. Later, the message may have run, and ends by a notice, which does no harm if it was delivered after all. late_deliveries_total counts them.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -264,16 +264,35 @@
                           receivedAt);
 }
 
-void Decisions::recordResult(const DueAttempt& due, const AttemptResult& result) {
+// A delivery that comes after the deadline, or so close to it that it may have, is none: the message may have
+// run, and it is owed an end by a notice. A notice for a message that was delivered after all does no harm.
+AttemptResult Decisions::resultInTime(const HeldMessage& held, const DueAttempt& due,
+                                      const AttemptResult& result) {
+    const bool delivered = result.status == AttemptStatus::delivered && result.answeredAt;
+    if (!delivered || rules::deliversInTime(*result.answeredAt, held.submission.deadline)) return result;
+    static auto& lateDeliveries = metrics::counter("late_deliveries_total");
+    lateDeliveries.add();
+    (log::info() << "delivered too late to count")
+        .kv("id", due.id)
+        .kv("call", due.attempt + 1)
+        .kv("endpoint", due.endpoint)
+        .kv("late_ms", (*result.answeredAt - held.submission.deadline) / milliseconds(1));
+    AttemptResult late = result;
+    late.status = AttemptStatus::timedOut;
+    return late;
+}
+
+void Decisions::recordResult(const DueAttempt& due, const AttemptResult& received) {
     // On an overloaded machine this thread may wait long for the facade's lock while other threads begin
     // attempts. The announced wait must apply from the time the answer was received, so it is set before
     // locking.
-    if (result.status == AttemptStatus::rejected) announceWait(due, result.wait);
+    if (received.status == AttemptStatus::rejected) announceWait(due, received.wait);
     const std::lock_guard lock(mutex_);
     sendRules_.end(due.id);
     const auto it = heldMessages_.find(due.id);
     if (it == heldMessages_.end() || !it->second.inFlight) return;
     HeldMessage& held = it->second;
+    const auto result = resultInTime(held, due, received);
     --inFlight_;
     held.inFlight = false;
     held.lastStatus = result.status;
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -87,6 +87,7 @@
     std::optional<double> allowanceLeft;  ///< unused share of the destination's rate limit, if reported
     std::optional<double> allowedRate;    ///< rate limit in requests per second, if reported; 0: no limit
     bool unexpectedServer = false;        ///< the answer is one that no expected endpoint gives
+    std::optional<TimePoint> answeredAt;  ///< for delivered: when the response began to arrive
     bool stale = false;  ///< for reset: a fault of the reused connection, which says nothing of the endpoint
 };
 
@@ -231,6 +232,8 @@
     bool isCurrent(const HeldMessage& held, const DueAttempt& due) const;
     rules::Attempt rulesAttempt(const DueAttempt& due) const;
     static void logAttemptBegin(const HeldMessage& held, const DueAttempt& due);
+    static AttemptResult resultInTime(const HeldMessage& held, const DueAttempt& due,
+                                      const AttemptResult& result);
     static void logFinished(const DueAttempt& due, const AttemptResult& result,
                             std::chrono::nanoseconds lateness);
     void undoBegin(HeldMessage& held, const std::string& id);
--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -40,7 +40,11 @@
     return {};
 }
 
-AttemptResult endedWith(AttemptStatus status) { return AttemptResult{status, false, {}, {}, {}}; }
+AttemptResult endedWith(AttemptStatus status) {
+    AttemptResult result;
+    result.status = status;
+    return result;
+}
 
 std::string formatAttempt(const DueAttempt& dueAttempt, bool announceClose) {
     const auto leftMs = std::chrono::ceil<milliseconds>(dueAttempt.tryUntil - net::Steady::now()).count();
@@ -59,8 +63,12 @@
 // kMaxResponseBytes; otherwise its status line alone decides and the connection is closed. A status of 200
 // counts as delivered whatever follows it.
 AttemptResult resultOf(const DueAttempt& dueAttempt, const http_client::ReceivedResponse& response) {
-    if (response.isComplete()) return interpretResponse(response.message);
-    if (response.message.status == 200) return endedWith(AttemptStatus::delivered);
+    if (response.isComplete() || response.message.status == 200) {
+        auto result =
+            response.isComplete() ? interpretResponse(response.message) : endedWith(AttemptStatus::delivered);
+        result.answeredAt = response.firstByteAt;
+        return result;
+    }
     if (response.completeness == http_client::Completeness::none)
         return endedWith(response.lastIo == net::IoResult::timedOut ? AttemptStatus::timedOut
                                                                     : AttemptStatus::reset);
--- a/src/rules/end_rules.hpp
+++ b/src/rules/end_rules.hpp
@@ -15,6 +15,17 @@
 /// An end that is later than this is worth a line in the log.
 inline constexpr std::chrono::milliseconds kNotableEndLateness{50};
 
+/// A delivery counts if its response arrived this long before the deadline of its message at the latest. The
+/// client counts the message's time from when it wrote the request, and a delivery from when the endpoint
+/// wrote the response; here only their arrival is known.
+inline constexpr std::chrono::milliseconds kDeliveryMargin{20};
+
+/// Whether a response with status 200 that arrived then delivers a message with this deadline.
+inline bool deliversInTime(std::chrono::steady_clock::time_point arrivedAt,
+                           std::chrono::steady_clock::time_point deadline) {
+    return arrivedAt + kDeliveryMargin <= deadline;
+}
+
 /// A step of an end on its way to the platform.
 enum class EndStep { decided, acknowledged };
 
--- a/tests/laurelhaven/decisions_test.cpp
+++ b/tests/laurelhaven/decisions_test.cpp
@@ -87,7 +87,10 @@
 };
 
 AttemptResult resultOf(AttemptStatus status, milliseconds wait = {}) {
-    return AttemptResult{status, false, wait, {}, {}};
+    AttemptResult result;
+    result.status = status;
+    result.wait = wait;
+    return result;
 }
 
 void deliveredMessageIsRemoved() {
