--- a/lab/standin/server.cpp
+++ b/lab/standin/server.cpp
@@ -117,7 +117,7 @@
         for (auto state = parser.feed(got); state == http::Parser::State::complete; state = parser.next()) {
             while (silent_ && !ending_) std::this_thread::sleep_for(milliseconds(20));
             if (ending_ || !handler_(parser.message(), connection)) return;
-            if (!parser.message().keepsAlive()) return;
+            if (!parser.message().keepsAlive() && !ignoresClose_) return;
         }
         if (parser.state() == http::Parser::State::bad) return;
     }
--- a/lab/standin/server.hpp
+++ b/lab/standin/server.hpp
@@ -50,6 +50,8 @@
     /// Resets what is open and refuses what comes: the process has died.
     void stop();
     void setSilent(bool silent) { silent_ = silent; }
+    /// Connections stay open behind requests that announce their close.
+    void setIgnoresClose(bool ignores) { ignoresClose_ = ignores; }
     /// Breaks all open connections, and goes on listening.
     void cut();
     const std::string& address() const { return address_; }
@@ -66,7 +68,7 @@
 
     std::string address_;
     Handler handler_;
-    std::atomic<bool> silent_{false}, ending_{false};
+    std::atomic<bool> silent_{false}, ending_{false}, ignoresClose_{false};
     net::Fd listener_;
     std::thread acceptor_;
     std::mutex mutex_;
