--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -141,7 +141,7 @@
 AttemptResult Delivery::deliver(const DueAttempt& dueAttempt) {
     const auto address = net::parseAddress(dueAttempt.address);
     if (!address) return {};
-    auto idle = idleConnections_.acquire(dueAttempt.endpoint, dueAttempt.address);
+    auto idle = idleConnections_.acquire(dueAttempt.endpoint, dueAttempt.address, dueAttempt.mayBeRepeated);
     for (;;) {
         auto connection = idle
                               ? std::move(*std::exchange(idle, std::nullopt))
@@ -201,15 +201,17 @@
     // recorded, so that an attempt that was never sent is not recorded, and again after it, as recording may
     // have taken long.
     const auto stillIdle = [&] { return activityOnIdle(connection, responseRules_).empty(); };
-    if (reused && !stillIdle()) return endedWith(AttemptStatus::noConnection);
+    rules::SentRequest request{
+        dueAttempt.endpoint, dueAttempt.address, connection.carried(), dueAttempt.mayBeRepeated, false,
+        dueAttempt.tryUntil};
+    // Another response may have shown meanwhile how the endpoint responds.
+    if (reused && !(stillIdle() && responseRules_.mayCarry(request)))
+        return endedWith(AttemptStatus::noConnection);
     if (!decisions_.tryBeginAttempt(dueAttempt)) {
         keep = !dueAttempt.cancelToken.stop_requested();
         return endedWith(AttemptStatus::unsent);
     }
     if (reused && !stillIdle()) return endedWith(AttemptStatus::noConnection);
-    rules::SentRequest request{
-        dueAttempt.endpoint, dueAttempt.address, connection.carried(), dueAttempt.mayBeRepeated, false,
-        dueAttempt.tryUntil};
     request.closeAnnounced = responseRules_.mustAnnounceClose(request);
     const auto text = formatAttempt(dueAttempt, request.closeAnnounced);
     const auto firstByteAt = net::Steady::now();
@@ -234,27 +236,28 @@
         auto response = reader.next(request.deadline);
         // A cancellation shuts the connection, which must not count as an end by the endpoint.
         if (dueAttempt.cancelToken.stop_requested() && !response.isComplete() &&
-            (repeated || response.message.status != 200))
+            (repeated || response.message.status != rules::kDelivered))
             return resultWithoutOwn(AttemptStatus::cancelled, response, repeated);
         const auto resemblance = connection.history().compare(response.bytes);
-        const bool newContent = !connection.history().hasContent(http_client::contentHash(response.message));
-        const auto verdict =
-            responseRules_.judge(request,
-                                 {response.completeness, resemblance, response.message.status,
-                                  response.lastIo, newContent, timeAfter(repeated, response)},
-                                 repeated ? repeated->message.status : 0, net::Steady::now());
+        const rules::ArrivedResponse arrived{
+            response.completeness,          resemblance,
+            response.message.status,        http_client::contentHash(response.message),
+            !response.message.keepsAlive(), timeAfter(repeated, response)};
+        const auto verdict = responseRules_.judge(request, arrived, repeated ? repeated->message.status : 0,
+                                                  net::Steady::now());
         logResponse(dueAttempt, connection, {response, sentAt, resemblance, verdict});
         // If it is the request's own, the wait that it announces runs from now.
         if (verdict != ResponseVerdict::own && response.isComplete())
             decisions_.announceWait(dueAttempt, interpretResponse(response.message).wait);
         switch (verdict) {
             case ResponseVerdict::own:
-                keep = response.keepsAlive() && responseRules_.mayReuse(request);
                 connection.responseReceived(response);
+                if (response.leftover > 0) reportUnsolicited(connection, reader.following(), responseRules_);
+                keep = response.keepsAlive() && responseRules_.mayReuse(request);
                 return resultOfOwn(response);
             case ResponseVerdict::repeated: repeated = std::move(response); break;
             case ResponseVerdict::repeatedWasOwn: return resultOfEarlier(*repeated);
-            case ResponseVerdict::noneWasOwn:
+            case ResponseVerdict::noneProven:
                 return resultWithoutOwn(response.lastIo == net::IoResult::timedOut ? AttemptStatus::timedOut
                                                                                    : AttemptStatus::reset,
                                         response, repeated);
--- a/src/delivery/idle.cpp
+++ b/src/delivery/idle.cpp
@@ -18,14 +18,19 @@
 
 }  // namespace
 
+bool IdleConnections::mayCarry(const EndpointConnection& connection, bool mayBeRepeated) const {
+    return responseRules_.mayCarry(
+        {connection.endpoint(), connection.address(), connection.carried(), mayBeRepeated, false, {}});
+}
+
 std::optional<EndpointConnection> IdleConnections::acquire(const std::string& endpoint,
-                                                           const std::string& address) {
+                                                           const std::string& address, bool mayBeRepeated) {
     const std::lock_guard lock(mutex_);
     const auto now = net::Steady::now();
     for (auto it = entries_.end(); it != entries_.begin();) {
         --it;
         if (it->connection.endpoint() != endpoint || it->connection.address() != address ||
-            now < it->reusableAt)
+            now < it->reusableAt || !mayCarry(it->connection, mayBeRepeated))
             continue;
         auto connection = std::move(it->connection);
         const bool expired = now >= it->expiresAt;
--- a/src/delivery/idle.hpp
+++ b/src/delivery/idle.hpp
@@ -22,7 +22,7 @@
 ///
 /// A duplicate of a response may arrive right after it. So a connection is reused only after a delay, and
 /// only if nothing has been received on it in the meantime; one that arrives later still is judged by
-/// rules::ResponseRules.
+/// rules::ResponseRules, which also decide which request a connection may carry.
 class IdleConnections {
   public:
     /// A connection may be reused from `reuseDelay` after its release, and is closed after `keepAlive`.
@@ -33,9 +33,10 @@
           keepAlive_(keepAlive),
           maxConnections_(maxConnections),
           responseRules_(responseRules) {}
-    /// Returns the most recently used connection whose reuse delay has passed and that has neither been
-    /// closed by the endpoint nor received anything; empty if there is none.
-    std::optional<EndpointConnection> acquire(const std::string& endpoint, const std::string& address);
+    /// Returns the most recently used connection that may carry such a request, whose reuse delay has passed
+    /// and that has neither been closed by the endpoint nor received anything; empty if there is none.
+    std::optional<EndpointConnection> acquire(const std::string& endpoint, const std::string& address,
+                                              bool mayBeRepeated);
     void release(EndpointConnection connection);
     /// Closes all idle connections to the endpoint.
     void closeEndpoint(const std::string& endpoint);
@@ -48,6 +49,8 @@
         EndpointConnection connection;
         net::Deadline reusableAt, expiresAt;
     };
+    bool mayCarry(const EndpointConnection& connection, bool mayBeRepeated) const;
+
     std::chrono::nanoseconds reuseDelay_, keepAlive_;
     std::size_t maxConnections_;
     rules::ResponseRules& responseRules_;
--- a/src/delivery/idle_activity.cpp
+++ b/src/delivery/idle_activity.cpp
@@ -13,12 +13,14 @@
     return parser.feed(bytes) == http::Parser::State::complete ? parser.message().status : 0;
 }
 
-void reportBytes(const EndpointConnection& connection, rules::ResponseRules& responseRules) {
-    const auto bytes = net::peekArrived(connection.fd());
+}  // namespace
+
+void reportUnsolicited(const EndpointConnection& connection, std::string_view bytes,
+                       rules::ResponseRules& responseRules) {
     const auto resemblance = connection.history().compare(bytes);
     const int status = statusOf(bytes);
     metrics::counter("unsolicited_responses_total", "resemblance", name(resemblance)).add();
-    (log::debug() << "bytes arrived on an idle connection")
+    (log::debug() << "bytes arrived that no request waits for")
         .kv("connection", connection.id())
         .kv("endpoint", connection.endpoint())
         .kv("status", status)
@@ -26,8 +28,6 @@
     responseRules.unsolicited(connection.lastMessage(), status, resemblance);
 }
 
-}  // namespace
-
 std::string_view activityOnIdle(const EndpointConnection& connection, rules::ResponseRules& responseRules) {
     switch (net::unreadState(connection.fd())) {
         case net::UnreadState::nothing: return {};
@@ -35,7 +35,7 @@
         case net::UnreadState::broken: return "broken";
         case net::UnreadState::bytes: break;
     }
-    reportBytes(connection, responseRules);
+    reportUnsolicited(connection, net::peekArrived(connection.fd()), responseRules);
     return "unsolicited_bytes";
 }
 
--- a/src/delivery/response_result.cpp
+++ b/src/delivery/response_result.cpp
@@ -144,7 +144,10 @@
                                const std::optional<ReceivedResponse>& earlier) {
     auto result = endedWith(status);
     restrict(result, last);
-    if (earlier) restrict(result, *earlier);
+    if (!earlier) return result;
+    restrict(result, *earlier);
+    // The endpoint may have responded: the end of the connection says nothing about it.
+    result.stale = status == AttemptStatus::reset;
     return result;
 }
 
--- a/src/http_client/response_reader.hpp
+++ b/src/http_client/response_reader.hpp
@@ -53,6 +53,8 @@
     /// Reads the next final response; interim responses before it are skipped. Ends at the deadline. Once it
     /// has returned one that is not complete, nothing more can be read.
     ReceivedResponse next(net::Deadline until);
+    /// What has been received behind the last response that was returned.
+    std::string_view following() const { return following_; }
 
   private:
     void skipInterimResponses(ReceivedResponse& response);
--- a/src/rules/response_rules.cpp
+++ b/src/rules/response_rules.cpp
@@ -12,10 +12,7 @@
 
 constexpr int kRequestTimeout = 408;              // sent by servers that close an idle connection
 constexpr std::chrono::seconds kForgetAfter{60};  // endpoints that are not used
-// An endpoint that heeds an announced close closes right behind its response.
-constexpr std::chrono::milliseconds kMaxCloseDelay{50};  // also of noise behind a response
-constexpr std::chrono::milliseconds kMinSilence{
-    250};  // after which another response is not expected any more
+constexpr std::chrono::milliseconds kMaxNoiseDelay{50};
 
 }  // namespace
 
@@ -25,72 +22,69 @@
     return kNames[static_cast<std::size_t>(verdict)];
 }
 
+bool ResponseRules::mayCarry(const SentRequest& request) const {
+    const std::lock_guard lock(mutex_);
+    const auto endpoint = known(request.endpoint, request.address);
+    return differsWithoutClose(request, endpoint) || endpoint.tellsByClose();
+}
+
 bool ResponseRules::mustAnnounceClose(const SentRequest& request) const {
-    if (request.before.rejections && !request.mayBeRepeated) return true;
     const std::lock_guard lock(mutex_);
-    return request.before.deliveries &&
-           expectedDeliveries(known(request.endpoint, request.address)) != Pattern::distinct;
+    const auto endpoint = known(request.endpoint, request.address);
+    if (request.before.any()) return !differsWithoutClose(request, endpoint);
+    // No other request can follow; and the response shows whether the endpoint says that it closes.
+    return endpoint.deliveries == Pattern::repeating && !endpoint.tellsByClose();
 }
 
 ResponseVerdict ResponseRules::judge(const SentRequest& request, const ArrivedResponse& response,
                                      int repeatedStatus, net::Deadline now) {
     const std::lock_guard lock(mutex_);
     Endpoint& endpoint = entry(request, now);
-    const bool distinct = repeatedStatus == kDelivered && expectedDeliveries(endpoint) == Pattern::distinct;
-    auto verdict = verdictOn(response, repeatedStatus != 0, distinct);
+    auto verdict = verdictOn(response, repeatedStatus != 0);
     // Reading on after a rejection would take as long as an attempt may, each time that the rejection is the
     // request's own, as it mostly is.
     if (verdict == ResponseVerdict::repeated && response.status != kDelivered && !request.closeAnnounced)
         verdict = ResponseVerdict::unattributable;
-    learn(endpoint, request, response, repeatedStatus, verdict);
+    if (verdict == ResponseVerdict::own) learnFromOwn(endpoint, request, response);
+    else if (verdict != ResponseVerdict::repeated) learnFromUnknown(endpoint, request, repeatedStatus);
     return verdict;
 }
 
 /// Noise, or a part of a duplicate, right behind a response: none that has a status of its own.
 bool ResponseRules::isNoiseBehind(const ArrivedResponse& response) {
     const bool hasOwnStatus = response.status != 0 && response.resemblance == Resemblance::none;
-    return !hasOwnStatus && response.afterRepeated <= kMaxCloseDelay;
+    return !hasOwnStatus && response.afterRepeated <= kMaxNoiseDelay;
 }
 
-bool ResponseRules::closedPromptly(const ArrivedResponse& response) {
-    return response.lastIo == net::IoResult::closed && response.afterRepeated <= kMaxCloseDelay;
-}
-
-ResponseVerdict ResponseRules::verdictOn(const ArrivedResponse& response, bool followsRepeated,
-                                         bool distinct) {
-    const auto withoutAnother = distinct ? ResponseVerdict::noneWasOwn : ResponseVerdict::repeatedWasOwn;
-    if (response.completeness == Completeness::none) {
-        if (!followsRepeated) return ResponseVerdict::own;
-        // The own response may be missing: the connection broke or ended late, or the time is up.
-        return closedPromptly(response) ? withoutAnother : ResponseVerdict::noneWasOwn;
-    }
+ResponseVerdict ResponseRules::verdictOn(const ArrivedResponse& response, bool followsRepeated) {
+    if (response.completeness == Completeness::none)
+        return followsRepeated ? ResponseVerdict::noneProven : ResponseVerdict::own;
     if (response.resemblance == Resemblance::duplicate) return ResponseVerdict::repeated;
     const bool complete = response.completeness == Completeness::complete;
-    if (followsRepeated && !distinct && !complete)
-        return isNoiseBehind(response) ? ResponseVerdict::repeatedWasOwn : ResponseVerdict::unattributable;
-    return response.resemblance == Resemblance::none ? ResponseVerdict::own : ResponseVerdict::unattributable;
+    if (followsRepeated && !complete && isNoiseBehind(response)) return ResponseVerdict::repeatedWasOwn;
+    if (response.resemblance != Resemblance::none) return ResponseVerdict::unattributable;
+    if (complete) return ResponseVerdict::own;
+    // It is no part of an earlier response. Behind a repeated one it may be the request's own, or noise that
+    // belongs to that.
+    return followsRepeated ? ResponseVerdict::unattributable : ResponseVerdict::own;
 }
 
-void ResponseRules::learn(Endpoint& endpoint, const SentRequest& request, const ArrivedResponse& response,
-                          int repeatedStatus, ResponseVerdict verdict) {
-    if (verdict == ResponseVerdict::own) {
-        const bool comparable = response.completeness == Completeness::complete &&
-                                response.status == kDelivered && request.before.deliveries;
-        if (comparable)
-            setDeliveries(endpoint, response.hasNewContent ? Pattern::distinct : Pattern::repeating);
-        return;
-    }
-    // Nothing more came within the time of a response. However distinct responses have been, it is more
-    // likely that two were the same than that a duplicate was sent and the request's own response is missing.
-    const bool silent = response.completeness == Completeness::none &&
-                        response.lastIo == net::IoResult::timedOut && repeatedStatus != 0 &&
-                        response.afterRepeated >= kMinSilence;
-    const bool closedLate = response.completeness == Completeness::none && repeatedStatus != 0 &&
-                            response.lastIo == net::IoResult::closed && !closedPromptly(response);
-    const bool ignored = silent || closedLate;
-    if (ignored && request.closeAnnounced) endpoint.ignoresAnnouncedClose = true;
-    if (verdict != ResponseVerdict::repeatedWasOwn && !silent) return;
+void ResponseRules::learnFromOwn(Endpoint& endpoint, const SentRequest& request,
+                                 const ArrivedResponse& response) {
+    if (response.completeness != Completeness::complete) return;
+    if (request.closeAnnounced) endpoint.saysClose = response.saysClose;
+    if (response.status != kDelivered) return;
+    if (endpoint.lastDelivery)
+        setDeliveries(endpoint,
+                      *endpoint.lastDelivery == response.content ? Pattern::repeating : Pattern::distinct);
+    endpoint.lastDelivery = response.content;
+}
+
+/// However distinct deliveries have been, it is more likely that two were the same than that a duplicate was
+/// sent and the request's own response is missing.
+void ResponseRules::learnFromUnknown(Endpoint& endpoint, const SentRequest& request, int repeatedStatus) {
     if (repeatedStatus == kDelivered) setDeliveries(endpoint, Pattern::repeating);
+    if (repeatedStatus != 0 && request.closeAnnounced) endpoint.saysClose = false;
 }
 
 /// An endpoint whose deliveries have repeated is not taken for distinct any more.
@@ -100,15 +94,25 @@
     repeatingSeen_ = repeatingSeen_ || pattern == Pattern::repeating;
 }
 
-/// An endpoint of which nothing is known is taken to respond like the others, as far as they are alike.
-ResponseRules::Pattern ResponseRules::expectedDeliveries(const Endpoint& endpoint) const {
-    if (endpoint.deliveries != Pattern::unknown) return endpoint.deliveries;
+/// Whether the response can be expected to differ from those before it, though it says nothing of a close.
+bool ResponseRules::differsWithoutClose(const SentRequest& request, const Endpoint& endpoint) const {
+    if (request.before.rejections && !request.mayBeRepeated) return false;
+    return !request.before.deliveries || expectedDeliveries(request, endpoint) == Pattern::distinct;
+}
+
+/// An endpoint of which nothing is known is taken to respond like the others, as far as they are alike. A
+/// request that may not be repeated is not risked on that.
+ResponseRules::Pattern ResponseRules::expectedDeliveries(const SentRequest& request,
+                                                         const Endpoint& endpoint) const {
+    if (endpoint.deliveries != Pattern::unknown || !request.mayBeRepeated) return endpoint.deliveries;
     return distinctSeen_ && !repeatingSeen_ ? Pattern::distinct : Pattern::unknown;
 }
 
 bool ResponseRules::mayReuse(const SentRequest& request) const {
+    if (request.closeAnnounced) return false;
     const std::lock_guard lock(mutex_);
-    return !request.closeAnnounced && !known(request.endpoint, request.address).ignoresAnnouncedClose;
+    const auto endpoint = known(request.endpoint, request.address);
+    return endpoint.deliveries != Pattern::repeating || endpoint.saysClose.value_or(true);
 }
 
 void ResponseRules::unsolicited(std::string_view subject, int status, Resemblance resemblance) {
--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -1,31 +1,35 @@
-// Decides whether a response belongs to the request that waits for it on its connection.
+// Decides which connection may carry a request, and whether a response belongs to the request that waits for
+// it.
 //
 // HTTP/1.1 responses carry no reference to their request: a client matches them by their order alone. An
 // endpoint, or a device on the way, may send a response twice, and the duplicate may arrive after the
-// connection's next request has been written. Taken for the response to that request, it reports a delivery
-// or a rejection that did not happen, and each later response on the connection goes to the wrong request.
-// So:
+// connection's next request has been written, however late. Taken for the response to that request, it
+// reports a delivery or a rejection that did not happen. What proves a response to be the request's own:
 //
-// - The first response on a connection is the request's own. So is one that differs from all earlier ones on
-// the
-//   connection, as a duplicate has the same bytes as its original.
-// - A delivery (status 200) that repeats an earlier one proves nothing by itself. The client reads on, and
-// the
-//   next response counts. If none comes, the repeated one was a duplicate where the endpoint's deliveries
-//   have been distinct, and the request may have run; elsewhere it was the request's own.
-// - Where the deliveries of an endpoint may repeat, a request that follows one announces that its connection
-//   closes: then the last response before the close is its own, and that is known at once. A close that comes
-//   late tells nothing of the response.
-// - Any other response that repeats an earlier one leaves open whether the request has run. Such responses
-// often
-//   have nothing to tell, so a request that may not be repeated and follows one announces the close as well.
+// - it is the first response on its connection; or
+// - it is complete and differs from all earlier ones there, as a duplicate has the same bytes as its
+// original.
 //
-// Clients that follow none of this use a connection for one request only. Keeps what is known of each
-// endpoint; no I/O. Safe for use by several threads.
+// A response that repeats an earlier one proves nothing, and neither does what comes behind it: an end of the
+// connection may have crossed the request.
+// The client reads on, and a response that differs counts. Without one the outcome of the request is unknown.
+//
+// So that this is rare, a request goes to a used connection only if its response can be expected to differ:
+//
+// - Behind a delivery (status 200) the endpoint's deliveries must have been distinct so far. Where they
+// repeat,
+//   an endpoint that honours an announced close and says so ("Connection: close") tells its last response
+//   apart by that.
+// - Behind a rejection, the same holds for a request that may not be repeated.
+//
+// What is learned of an endpoint decides only this, never what a response means: an endpoint may be replaced
+// by another one with the same name and address. No I/O. Safe for use by several threads.
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -41,9 +45,10 @@
 struct CarriedResponses {
     bool deliveries = false;  ///< responses with status 200
     bool rejections = false;  ///< responses with another status
+    bool any() const { return deliveries || rejections; }
 };
 
-/// A request that has been written.
+/// A request that is to be sent, or has been.
 struct SentRequest {
     std::string endpoint, address;
     CarriedResponses before;  ///< on its connection
@@ -57,9 +62,8 @@
     http_client::Completeness completeness = http_client::Completeness::none;
     http_client::Resemblance resemblance = http_client::Resemblance::none;
     int status = 0;
-    net::IoResult lastIo = net::IoResult::done;
-    /// It says something else than the earlier responses with its status, whatever it says of the connection.
-    bool hasNewContent = false;
+    std::size_t content = 0;  ///< a hash of what it says, whatever it says of the connection
+    bool saysClose = false;   ///< it says that the connection closes
     /// Since the repeated response that it follows, if it does.
     std::chrono::nanoseconds afterRepeated{};
 };
@@ -68,10 +72,9 @@
 enum class ResponseVerdict {
     own,             ///< it is the request's own, or none came
     repeated,        ///< it repeats an earlier response: read on
-    repeatedWasOwn,  ///< nothing more came that counts: the repeated response is the request's own
-    noneWasOwn,      ///< nothing more came that counts, and the repeated response was a duplicate
-    unattributable   ///< it holds a part of an earlier response, so it can't be said what belongs to the
-                     ///< request
+    repeatedWasOwn,  ///< noise came right behind: the repeated response is the request's own
+    noneProven,      ///< nothing more came behind a repeated response: the request's outcome is unknown
+    unattributable   ///< it can't be said what belongs to the request: its outcome is unknown
 };
 /// The name used in logs and metrics.
 std::string_view name(ResponseVerdict verdict);
@@ -80,16 +83,20 @@
   public:
     explicit ResponseRules(Violations& violations) : violations_(violations) {}
 
+    /// Whether a response to the request, on a connection that has carried `before`, can be expected to be
+    /// provably its own.
+    bool mayCarry(const SentRequest& request) const;
     /// Whether the request, before it is sent, must announce that its connection closes.
     bool mustAnnounceClose(const SentRequest& request) const;
     /// Judges a response, and learns from it how the endpoint responds. `repeatedStatus`: of the repeated
     /// response that this one follows; 0: none.
     ResponseVerdict judge(const SentRequest& request, const ArrivedResponse& response, int repeatedStatus,
                           net::Deadline now);
-    /// Whether the connection may carry another request after the request's own response.
+    /// Whether the connection may be kept for another request after the request's own response.
     bool mayReuse(const SentRequest& request) const;
-    /// A response arrived on an idle connection. Counts a violation if it is no duplicate: then the request
-    /// that it belongs to was given another one's response. `subject`: the last message on the connection.
+    /// A response arrived that no request waits for. Counts a violation if it is no duplicate: then the
+    /// request that it belongs to was given another one's response. `subject`: the last message on the
+    /// connection.
     void unsolicited(std::string_view subject, int status, http_client::Resemblance resemblance);
 
   private:
@@ -98,18 +105,21 @@
     struct Endpoint {
         std::string address;
         Pattern deliveries = Pattern::unknown;
-        bool ignoresAnnouncedClose = false;
+        std::optional<std::size_t> lastDelivery;  ///< its content
+        /// Whether its response says so where its request announces the close; empty: not known yet.
+        std::optional<bool> saysClose;
+        bool tellsByClose() const { return saysClose.value_or(false); }
         net::Deadline usedAt;
     };
 
-    static bool closedPromptly(const ArrivedResponse& response);
     static bool isNoiseBehind(const ArrivedResponse& response);
-    static ResponseVerdict verdictOn(const ArrivedResponse& response, bool followsRepeated, bool distinct);
+    static ResponseVerdict verdictOn(const ArrivedResponse& response, bool followsRepeated);
     Endpoint known(const std::string& endpoint, const std::string& address) const;
-    Pattern expectedDeliveries(const Endpoint& endpoint) const;
+    bool differsWithoutClose(const SentRequest& request, const Endpoint& endpoint) const;
+    Pattern expectedDeliveries(const SentRequest& request, const Endpoint& endpoint) const;
     Endpoint& entry(const SentRequest& request, net::Deadline now);
-    void learn(Endpoint& endpoint, const SentRequest& request, const ArrivedResponse& response,
-               int repeatedStatus, ResponseVerdict verdict);
+    void learnFromOwn(Endpoint& endpoint, const SentRequest& request, const ArrivedResponse& response);
+    void learnFromUnknown(Endpoint& endpoint, const SentRequest& request, int repeatedStatus);
     void setDeliveries(Endpoint& endpoint, Pattern pattern);
 
     Violations& violations_;
--- a/tests/laurelhaven/serve_test.cpp
+++ b/tests/laurelhaven/serve_test.cpp
@@ -33,8 +33,8 @@
         CHECK(m.method == "POST" && m.target == "/hook" && m.body == bytes);
         CHECK(*m.headers.find("Idempotency-Key") == "key-" + *m.headers.find("Req-Id"));
         CHECK(http::parseUnsigned(*m.headers.find("Req-Deadline-Ms"), 20000));
-        // The first is answered with an error: the second try delivers.
-        return answer(++calls == 1 ? 500 : 200, {{"Srv-Load", "garbage"}});
+        // The first is answered with an error: the second try delivers. It says when it closes.
+        return http::formatResponse(++calls == 1 ? 500 : 200, {{"Srv-Load", "garbage"}}, "", m.keepsAlive());
     });
     Program program(folder.path, platform, check::entry("a", endpoint.at(), 7));
     const auto client = program.connection();
@@ -365,20 +365,21 @@
     rules::ResponseRules responseRules(violations);
     delivery::IdleConnections resting(hours(1), hours(2), 4, responseRules);
     resting.release(fresh("a"));
-    CHECK(!resting.acquire("a", to.text));
+    CHECK(!resting.acquire("a", to.text, true));
     delivery::IdleConnections idle(milliseconds(0), hours(1), 4, responseRules);
     idle.release(fresh("a"));
-    CHECK(!idle.acquire("b", to.text) && !idle.acquire("a", "127.0.0.1:1") && idle.acquire("a", to.text));
-    CHECK(!idle.acquire("a", to.text));
+    CHECK(!idle.acquire("b", to.text, true) && !idle.acquire("a", "127.0.0.1:1", true) &&
+          idle.acquire("a", to.text, true));
+    CHECK(!idle.acquire("a", to.text, true));
     auto spoilt = fresh("a");
     net::sendAll(spoilt.fd(), "GET / HTTP/1.1\r\n\r\n", soon());
     CHECK(net::waitReadable(spoilt.fd(), soon()));
     idle.release(std::move(spoilt));
-    CHECK(!idle.acquire("a", to.text));
+    CHECK(!idle.acquire("a", to.text, true));
     for (int i = 0; i < 6; ++i) idle.release(fresh(i < 3 ? "a" : "b"));
-    CHECK(idle.acquire("a", to.text) && !idle.acquire("a", to.text));
+    CHECK(idle.acquire("a", to.text, true) && !idle.acquire("a", to.text, true));
     idle.closeEndpoint("b");
-    CHECK(!idle.acquire("b", to.text));
+    CHECK(!idle.acquire("b", to.text, true));
 }
 
 // An answer that is spoilt delivers if its first line says 200, and is a failed attempt otherwise; its
@@ -386,15 +387,16 @@
 void spoiltAnswersAreJudgedByTheirFirstLine() {
     const check::Folder folder;
     Platform platform;
-    const std::string good = answer(200);
+    // Good ones differ: behind such a delivery the connection is used again.
+    const auto good = [](const std::string& number) { return answer(200, {{"X-Number", number}}); };
     std::map<std::string, std::string> spoilt{
         {"m0", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(300000, 'x')},
         {"m1", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx"},
         {"m2", "HTTP/1.1 200 OK\r\nX: never ends"},
         {"m3", "HTTP/1.1 200 OK\r\nno header\r\n\r\n"},
-        {"m4", good + good},
-        {"m5", good + "noise"},
-        {"m6", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + good},
+        {"m4", good("m4") + good("m4")},
+        {"m5", good("m5") + "noise"},
+        {"m6", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + good("m6")},
         {"m7", answer(200, {{"Srv-Load", "\x01\xff"}})},
         // From here on it takes a second try.
         {"n0", "noise"},
@@ -404,11 +406,12 @@
         {"n4", "HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n"}};
     std::mutex mutex;
     std::map<std::string, int> calls;
+    int number = 0;
     Stub endpoint([&](http::Message& m) {
         const auto id = *m.headers.find("Req-Id");
         const std::lock_guard lock(mutex);
         const auto it = spoilt.find(id);
-        return ++calls[id] == 1 && it != spoilt.end() ? it->second : good;
+        return ++calls[id] == 1 && it != spoilt.end() ? it->second : good(std::to_string(++number));
     });
     Program program(folder.path, platform, check::entry("a", endpoint.at(), 7));
     for (const auto& [id, text] : spoilt) {
--- a/tests/program/response_of_another_request_test.cpp
+++ b/tests/program/response_of_another_request_test.cpp
@@ -22,7 +22,8 @@
 // The connection may be used again by then.
 constexpr milliseconds kRest{40};
 
-constexpr int kNone = 0;  // in place of a status: the connection is closed without a response
+constexpr int kNone = 0;    // in place of a status: the connection is closed without a response
+constexpr int kNoise = -1;  // in place of a status: the response can't be read
 
 struct Reply {
     int status = 200;
@@ -42,7 +43,8 @@
     return id ? *id : std::string();
 }
 
-/// The endpoint. Its usual 200s differ from each other, as their bodies do.
+/// The endpoint. Its usual 200s differ from each other, as their bodies do. Where a request announces the
+/// close of its connection, the endpoint may say in its response that it closes.
 class Endpoint {
   public:
     Endpoint() { server_.start(); }
@@ -52,8 +54,11 @@
         const std::lock_guard lock(mutex_);
         replies_[id] = std::move(replies);
     }
+    void setSaysClose(bool says) { saysClose_ = says; }
     int calls(const std::string& id) { return count(calls_, id); }
     int deliveries(const std::string& id) { return count(deliveries_, id); }
+    /// Times that the message ran, whatever was answered.
+    int runs(const std::string& id) { return count(runs_, id) + count(deliveries_, id); }
 
   private:
     int count(std::map<std::string, int>& counts, const std::string& id) {
@@ -75,19 +80,31 @@
         const auto reply = begin(id);
         if (!connection.pause(reply.takes)) return false;
         if (reply.status == kNone) return false;
+        if (reply.status == kNoise) return sendNoise(id, connection);
         const bool usual = reply.status == 200 && reply.body.empty();
         const std::string body = usual ? "run " + id : reply.body;
         if (reply.status == 200) {
             const std::lock_guard lock(mutex_);
             ++deliveries_[id];
         }
-        return connection.send(http::formatResponse(reply.status, reply.fields, body, true));
+        const bool says = saysClose_ && !request.keepsAlive();
+        return connection.send(http::formatResponse(reply.status, reply.fields, body, !says));
+    }
+
+    /// The request has run.
+    bool sendNoise(const std::string& id, lab::Connection& connection) {
+        {
+            const std::lock_guard lock(mutex_);
+            ++runs_[id];
+        }
+        return connection.send("\x01\x02 noise that is no response\r\n\r\n");
     }
 
     std::mutex mutex_;
     std::map<std::string, std::deque<Reply>> replies_;
-    std::map<std::string, int> calls_, deliveries_;
+    std::map<std::string, int> calls_, deliveries_, runs_;
     int number_ = 0;
+    std::atomic<bool> saysClose_{false};
     lab::Server server_{"127.0.0.1:0",
                         [this](const http::Message& m, lab::Connection& c) { return answer(m, c); }};
 };
@@ -127,6 +144,14 @@
     void deliverSome() {
         for (const char* id : {"a", "b", "c"}) deliver(id);
     }
+    /// The sender learns that the 200s are all alike and, of an endpoint that says when it closes, that it
+    /// does. The next message is the first on its connection.
+    void deliverAlike() {
+        for (const char* id : {"a", "b", "c", "d", "e"}) {
+            endpoint_.reply(id, {{200, milliseconds(10), {}, "same"}});
+            deliver(id);
+        }
+    }
     bool within(milliseconds span, const std::function<bool()>& done) {
         for (const auto until = net::Steady::now() + span; !done();) {
             if (net::Steady::now() > until) return false;
@@ -166,20 +191,37 @@
     EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the next request";
 }
 
+// A message that reached nobody was held for delivered: the end of the connection had crossed its request.
 TEST_F(ResponseOfAnotherRequest, ACopyBeforeACleanCloseLosesNoMessage) {
     start("token");
-    for (const char* id : {"a", "b", "last"}) {
-        endpoint_.reply(id, {{200, milliseconds(10), {}, "same"}});
-        if (id == std::string("last")) sendAgain(id);
-        deliver(id);
-    }
+    endpoint_.setSaysClose(true);
+    deliverAlike();
+    endpoint_.reply("last", {{200, milliseconds(10), {}, "same"}});
+    sendAgain("last");
+    deliver("last");
     endpoint_.reply("next", {{kNone, milliseconds(0), {}}});
     handInMessage("next");
     EXPECT_TRUE(ends("next")) << "calls: " << endpoint_.calls("next");
     EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the next request";
 }
 
-TEST_F(ResponseOfAnotherRequest, ACopyOfAnEarlierRejectionRunsNoMessageTwice) {
+// The same where nothing tells a copy from the request's own response: the two must not meet.
+TEST_F(ResponseOfAnotherRequest, WhereDeliveriesAreAlikeACopyMeetsNoOtherRequest) {
+    start("token");
+    deliverAlike();
+    const auto before = endpointProxy_.connections();
+    endpoint_.reply("last", {{200, milliseconds(10), {}, "same"}});
+    sendAgain("last");
+    deliver("last");
+    endpoint_.reply("next", {{kNone, milliseconds(0), {}}});
+    handInMessage("next");
+    EXPECT_TRUE(ends("next")) << "calls: " << endpoint_.calls("next");
+    EXPECT_EQ(endpointProxy_.additions(), 0u);
+    EXPECT_EQ(endpointProxy_.connections() - before, 1u + static_cast<unsigned>(endpoint_.calls("next")));
+}
+
+// A connection that has carried a rejection carries an unsafe message only where a copy can be told.
+TEST_F(ResponseOfAnotherRequest, ACopyOfARejectionMeetsNoUnsafeMessageWhereItCannotBeTold) {
     start("side_effect");
     deliverSome();
     endpoint_.reply("m", {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
@@ -189,6 +231,20 @@
     std::this_thread::sleep_for(milliseconds(kDeadlineMs));
     EXPECT_EQ(endpoint_.deliveries("m"), 1);
     EXPECT_EQ(endpoint_.calls("m"), 2);
+    EXPECT_EQ(endpointProxy_.additions(), 0u);
+}
+
+TEST_F(ResponseOfAnotherRequest, ACopyOfAnEarlierRejectionRunsNoMessageTwice) {
+    start("side_effect");
+    endpoint_.setSaysClose(true);
+    deliverAlike();
+    endpoint_.reply("m", {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
+    sendAgain("m");
+    handInMessage("m");
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.deliveries("m") > 0; }));
+    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
+    EXPECT_EQ(endpoint_.deliveries("m"), 1);
+    EXPECT_EQ(endpoint_.calls("m"), 2);
     EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
 }
 
--- a/tests/program/response_table_test.cpp
+++ b/tests/program/response_table_test.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds kSettled{1500};  // after which a response has been read and recorded, a slow one too
 constexpr milliseconds kReplyInStop{200};  // after the signal
 constexpr milliseconds kSecondSignal{20};  // after the replies: a stop without further waits
+constexpr int kWarmUps = 2;                // deliveries of each endpoint, which show that they differ
 constexpr milliseconds kInFlight{100};     // a request so shortly before a kill may have no recorded outcome
 constexpr milliseconds kPatience{kDeadlineMs + 3000};
 // A message that has its end is sent no more after that.
@@ -142,8 +143,23 @@
         ASSERT_EQ(program_->status(requestFor(id, cell.destination)), 202) << id;
     }
 
+    /// The sender learns that the deliveries of each endpoint differ, so that it uses connections again.
+    void warmUp() {
+        for (int i = 0; i < kWarmUps; ++i) {
+            const auto idOf = [&](const Cell& cell) { return "warm-" + std::to_string(i) + "-" + cell.id; };
+            for (const auto& cell : cells_)
+                if (cell.position != Position::first) handInMessage(idOf(cell), cell);
+            for (const auto& cell : cells_)
+                if (cell.position != Position::first) {
+                    EXPECT_TRUE(within(kPatience, [&] { return isEnded(idOf(cell)); })) << idOf(cell);
+                }
+            std::this_thread::sleep_for(kRest);
+        }
+    }
+
     /// What the connections of the cells carry before.
     void prepareConnections() {
+        warmUp();
         for (const auto& cell : cells_) {
             if (cell.position == Position::first) continue;
             if (cell.position == Position::repeated)
@@ -276,12 +292,15 @@
         }
     }
 
-    /// A rejection of what may not be repeated has its connection closed by the second attempt.
+    /// A connection that has carried a rejection carries no request that may not be repeated. Another one
+    /// that has been used may.
     void checkPosition(const Cell& cell) {
-        const bool rejected =
-            cell.status->neverRan && !(cell.status->code == 410 || cell.status->code == 504);
-        if (cell.position == Position::repeated && rejected && effect() == Effect::unsafe) return;
-        EXPECT_EQ(endpoint_.cameLater(cell.id), cell.position != Position::first);
+        const bool behindRejection = cell.position == Position::repeated && cell.status->code != 200;
+        if (behindRejection && effect() == Effect::unsafe) {
+            EXPECT_NE(endpoint_.connectionOf(cell.id), endpoint_.connectionOf(cell.earlierId()));
+        } else {
+            EXPECT_EQ(endpoint_.cameLater(cell.id), cell.position != Position::first);
+        }
     }
 
     const std::vector<Cell> cells_ = allCells();
--- a/tests/program/scripted_endpoint.hpp
+++ b/tests/program/scripted_endpoint.hpp
@@ -69,6 +69,11 @@
         const std::lock_guard lock(mutex_);
         return messages_[id].repliedAt;
     }
+    /// The number of the connection on which its first request came; 0: none came.
+    std::uint64_t connectionOf(const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        return messages_[id].connection;
+    }
     /// Whether its first request came on a connection that had carried another one.
     bool cameLater(const std::string& id) {
         const std::lock_guard lock(mutex_);
@@ -84,13 +89,17 @@
         std::vector<Moment> requestedAt, repliedAt;
         int deliveries = 0;
         bool later = false;
+        std::uint64_t connection = 0;
     };
 
     Reply begin(const std::string& id, const laurelhaven::lab::Connection& connection) {
         const std::lock_guard lock(mutex_);
         auto& message = messages_[id];
         const bool used = !usedConnections_.insert(connection.number()).second;
-        if (message.requestedAt.empty()) message.later = used;
+        if (message.requestedAt.empty()) {
+            message.later = used;
+            message.connection = connection.number();
+        }
         message.requestedAt.push_back(laurelhaven::net::Steady::now());
         if (message.replies.empty()) return {200, Form::whole, Milliseconds(5), {}, "run " + id};
         const auto reply = message.replies.front();
--- a/tests/rules/response_rules_test.cpp
+++ b/tests/rules/response_rules_test.cpp
@@ -11,41 +11,61 @@
 using namespace std::chrono_literals;
 using http_client::Completeness;
 using http_client::Resemblance;
-using net::IoResult;
 using rules::ArrivedResponse;
 using rules::CarriedResponses;
 using rules::ResponseVerdict;
+using rules::SentRequest;
 
 constexpr CarriedResponses kNothing{}, kDelivery{true, false}, kRejection{false, true};
+constexpr bool kCloseAnnounced = true, kSaysClose = true, kUnsafe = false;
 
-ArrivedResponse different(int status) {
-    return {Completeness::complete, Resemblance::none, status, IoResult::done, true};
+/// A complete response that differs from all before it; `content`: what it says.
+ArrivedResponse different(int status, std::size_t content, bool saysClose = false) {
+    return {Completeness::complete, Resemblance::none, status, content, saysClose, {}};
 }
 ArrivedResponse duplicate(int status) {
-    return {Completeness::complete, Resemblance::duplicate, status, IoResult::done, false};
+    return {Completeness::complete, Resemblance::duplicate, status, 0, false, {}};
 }
-ArrivedResponse nothing(IoResult how) {
-    const auto afterRepeated = how == IoResult::timedOut ? 1s : 0s;
-    return {Completeness::none, Resemblance::none, 0, how, false, afterRepeated};
-}
-ArrivedResponse part(Resemblance resemblance) {
-    return {Completeness::partial, resemblance, 200, IoResult::timedOut, true};
+ArrivedResponse nothing() { return {}; }
+ArrivedResponse part(Resemblance resemblance, int status = 200) {
+    return {Completeness::partial, resemblance, status, 0, false, {}};
 }
+ArrivedResponse noise() { return {Completeness::malformed, Resemblance::none, 0, 0, false, {}}; }
 
 class ResponseRulesTest : public testing::Test {
   protected:
     ResponseRulesTest() { log::setLevel(log::Level::off); }
 
-    /// The verdict on a response; the one before it, with this status, repeated an earlier one.
+    static SentRequest request(const CarriedResponses& before, bool mayBeRepeated = true,
+                               bool closeAnnounced = false, const std::string& endpoint = "e") {
+        return {endpoint, "a:1", before, mayBeRepeated, closeAnnounced, {}};
+    }
+    /// The verdict on a response behind a delivery; the one before it, with this status, repeated an earlier
+    /// one.
     ResponseVerdict judge(const ArrivedResponse& response, int repeatedStatus = 0,
                           bool closeAnnounced = false) {
-        return rules_.judge({"e", "a:1", kDelivery, true, closeAnnounced, {}}, response, repeatedStatus,
-                            now_);
+        return rules_.judge(request(kDelivery, true, closeAnnounced), response, repeatedStatus, now_);
+    }
+    /// The first response on a connection, a delivery.
+    void deliver(std::size_t content, const std::string& endpoint = "e") {
+        rules_.judge(request(kNothing, true, false, endpoint), different(200, content), 0, now_);
+    }
+    void makeDistinct(const std::string& endpoint = "e") {
+        deliver(1, endpoint);
+        deliver(2, endpoint);
+    }
+    void makeRepeating(const std::string& endpoint = "e") {
+        deliver(1, endpoint);
+        deliver(1, endpoint);
     }
-    bool announces(const CarriedResponses& before, const std::string& endpoint = "e",
-                   bool mayBeRepeated = true) {
-        return rules_.mustAnnounceClose({endpoint, "a:1", before, mayBeRepeated, false, {}});
+    bool mayCarry(const CarriedResponses& before, bool mayBeRepeated = true,
+                  const std::string& endpoint = "e") {
+        return rules_.mayCarry(request(before, mayBeRepeated, false, endpoint));
     }
+    bool announces(const CarriedResponses& before, bool mayBeRepeated = true) {
+        return rules_.mustAnnounceClose(request(before, mayBeRepeated));
+    }
+    bool mayReuse() { return rules_.mayReuse(request(kNothing)); }
 
     rules::Violations violations_;
     rules::ResponseRules rules_{violations_};
@@ -53,17 +73,17 @@
 };
 
 TEST_F(ResponseRulesTest, AResponseThatDiffersIsOwn) {
-    EXPECT_EQ(judge(different(200)), ResponseVerdict::own);
-    EXPECT_EQ(judge(different(503)), ResponseVerdict::own);
-    EXPECT_EQ(judge(nothing(IoResult::timedOut)), ResponseVerdict::own) << "none came: nothing to mistake";
+    EXPECT_EQ(judge(different(200, 1)), ResponseVerdict::own);
+    EXPECT_EQ(judge(different(503, 2)), ResponseVerdict::own);
+    EXPECT_EQ(judge(nothing()), ResponseVerdict::own) << "none came: nothing to mistake";
 }
 
-TEST_F(ResponseRulesTest, AfterARepeatedResponseTheNextOneCounts) {
+TEST_F(ResponseRulesTest, AfterARepeatedResponseTheNextOneThatDiffersCounts) {
     EXPECT_EQ(judge(duplicate(200)), ResponseVerdict::repeated);
     for (const int status : {200, 410, 429, 500, 503, 504}) {
-        EXPECT_EQ(judge(duplicate(status), 0, true), ResponseVerdict::repeated) << status;
-        EXPECT_EQ(judge(different(503), status, true), ResponseVerdict::own) << status;
-        EXPECT_EQ(judge(duplicate(status), status, true), ResponseVerdict::repeated) << status;
+        EXPECT_EQ(judge(duplicate(status), 0, kCloseAnnounced), ResponseVerdict::repeated) << status;
+        EXPECT_EQ(judge(different(503, 1), status, kCloseAnnounced), ResponseVerdict::own) << status;
+        EXPECT_EQ(judge(duplicate(status), status, kCloseAnnounced), ResponseVerdict::repeated) << status;
     }
 }
 
@@ -72,106 +92,117 @@
         EXPECT_EQ(judge(duplicate(status)), ResponseVerdict::unattributable) << status;
 }
 
-TEST_F(ResponseRulesTest, WhereDeliveriesAreDistinctARepeatedOneIsADuplicate) {
-    judge(different(200));
-    EXPECT_EQ(judge(nothing(IoResult::closed), 200), ResponseVerdict::noneWasOwn);
-    EXPECT_EQ(judge(part(Resemblance::none), 200), ResponseVerdict::own) << "spoilt";
-    EXPECT_EQ(judge(nothing(IoResult::timedOut), 200), ResponseVerdict::noneWasOwn);
-}
-
-TEST_F(ResponseRulesTest, WhereTheyMayRepeatItIsOwnIfNothingElseComes) {
-    EXPECT_EQ(judge(nothing(IoResult::closed), 200, true), ResponseVerdict::repeatedWasOwn);
-    EXPECT_EQ(judge(nothing(IoResult::closed), 503, true), ResponseVerdict::repeatedWasOwn);
-    EXPECT_EQ(judge(part(Resemblance::truncated), 200, true), ResponseVerdict::repeatedWasOwn);
-}
-
-TEST_F(ResponseRulesTest, ABrokenConnectionMayHaveLostTheOwnResponse) {
-    EXPECT_EQ(judge(nothing(IoResult::broken), 200, true), ResponseVerdict::noneWasOwn);
-    EXPECT_EQ(judge(nothing(IoResult::broken), 503, true), ResponseVerdict::noneWasOwn);
-}
-
-TEST_F(ResponseRulesTest, WhereTheTimeIsUpTheOwnResponseMayBeMissing) {
-    auto timeUp = nothing(IoResult::timedOut);
-    timeUp.afterRepeated = 249ms;
-    for (const int status : {200, 410, 503})
-        EXPECT_EQ(judge(timeUp, status, true), ResponseVerdict::noneWasOwn) << status;
-    EXPECT_TRUE(rules_.mayReuse({"e", "a:1", kNothing, true, false, {}})) << "too short to tell";
-    timeUp.afterRepeated = 250ms;
-    EXPECT_EQ(judge(timeUp, 200, true), ResponseVerdict::noneWasOwn);
-    EXPECT_FALSE(rules_.mayReuse({"e", "a:1", kNothing, true, false, {}}));
+// A message that reached nobody was held for delivered: an end of the connection had crossed its request.
+TEST_F(ResponseRulesTest, NoEndBehindARepeatedResponseProvesIt) {
+    for (const bool announced : {false, kCloseAnnounced})
+        for (const int status : {200, 410, 429, 500, 503, 504})
+            EXPECT_EQ(judge(nothing(), status, announced), ResponseVerdict::noneProven) << status;
+    makeDistinct("e");
+    EXPECT_EQ(judge(nothing(), 200), ResponseVerdict::noneProven);
 }
 
 TEST_F(ResponseRulesTest, ACutResponseBehindARepeatedOneMayBeTheOwnOne) {
-    const ArrivedResponse cut{Completeness::partial, Resemblance::none, 503, IoResult::closed, true};
-    ArrivedResponse noise{Completeness::malformed, Resemblance::none, 0, IoResult::done, true};
-    EXPECT_EQ(judge(cut, 200, true), ResponseVerdict::unattributable);
-    EXPECT_EQ(judge(noise, 200, true), ResponseVerdict::repeatedWasOwn);
-    noise.afterRepeated = 51ms;
-    EXPECT_EQ(judge(noise, 200, true), ResponseVerdict::unattributable) << "the own one, spoilt";
-}
-
-TEST_F(ResponseRulesTest, ALateCloseTellsNothingOfARepeatedResponse) {
-    auto close = nothing(IoResult::closed);
-    close.afterRepeated = 50ms;
-    EXPECT_EQ(judge(close, 200, true), ResponseVerdict::repeatedWasOwn);
-    EXPECT_TRUE(rules_.mayReuse({"e", "a:1", kNothing, true, false, {}}));
-    close.afterRepeated = 51ms;
-    EXPECT_EQ(judge(close, 200, true), ResponseVerdict::noneWasOwn);
-    EXPECT_FALSE(rules_.mayReuse({"e", "a:1", kNothing, true, false, {}})) << "the close was not heeded";
+    auto late = noise();
+    late.afterRepeated = 51ms;
+    EXPECT_EQ(judge(part(Resemblance::none, 503), 200, kCloseAnnounced), ResponseVerdict::unattributable);
+    EXPECT_EQ(judge(noise(), 200, kCloseAnnounced), ResponseVerdict::repeatedWasOwn);
+    EXPECT_EQ(judge(late, 200, kCloseAnnounced), ResponseVerdict::unattributable) << "the own one, spoilt";
 }
 
 TEST_F(ResponseRulesTest, APartOfAnEarlierResponseProvesNothing) {
     EXPECT_EQ(judge(part(Resemblance::truncated)), ResponseVerdict::unattributable);
     EXPECT_EQ(judge(part(Resemblance::spliced)), ResponseVerdict::unattributable);
-    EXPECT_EQ(judge({Completeness::complete, Resemblance::spliced, 200, IoResult::done, true}),
+    EXPECT_EQ(judge({Completeness::complete, Resemblance::spliced, 200, 1, false, {}}),
               ResponseVerdict::unattributable);
 }
 
-TEST_F(ResponseRulesTest, CloseIsAnnouncedUnlessDeliveriesAreDistinct) {
-    EXPECT_FALSE(announces(kNothing));
-    EXPECT_TRUE(announces(kDelivery)) << "nothing is known yet";
-    judge(different(200));
-    EXPECT_FALSE(announces(kDelivery));
-    EXPECT_FALSE(announces(kDelivery, "another")) << "expected to be like the first one";
-    judge(nothing(IoResult::timedOut), 200);
-    EXPECT_TRUE(announces(kDelivery)) << "two deliveries were the same";
-    EXPECT_TRUE(announces(kDelivery, "another"));
-    judge(different(200));
-    EXPECT_TRUE(announces(kDelivery)) << "they may be again";
-    EXPECT_FALSE(announces(kNothing));
+TEST_F(ResponseRulesTest, AResponseThatIsNotWholeIsOwnIfItIsNoPartOfAnother) {
+    for (const int status : {200, 410, 503}) {
+        EXPECT_EQ(judge(part(Resemblance::none, status)), ResponseVerdict::own) << status;
+        EXPECT_EQ(rules_.judge(request(kNothing), part(Resemblance::none, status), 0, now_),
+                  ResponseVerdict::own)
+            << status;
+    }
 }
 
-TEST_F(ResponseRulesTest, CloseIsAnnouncedAfterARejectionWhereTheRequestMayNotBeRepeated) {
-    EXPECT_FALSE(announces(kRejection));
-    EXPECT_TRUE(announces(kRejection, "e", false));
-    EXPECT_FALSE(announces(kNothing, "e", false));
+TEST_F(ResponseRulesTest, ADeliveryIsFollowedByARequestWhereDeliveriesAreDistinct) {
+    EXPECT_TRUE(mayCarry(kNothing));
+    EXPECT_FALSE(mayCarry(kDelivery)) << "nothing is known yet";
+    makeDistinct();
+    EXPECT_TRUE(mayCarry(kDelivery));
+    EXPECT_TRUE(mayCarry(kDelivery, kUnsafe));
+    EXPECT_FALSE(announces(kDelivery));
+    EXPECT_TRUE(mayCarry(kDelivery, true, "another")) << "expected to be like the first one";
+    EXPECT_FALSE(mayCarry(kDelivery, kUnsafe, "another")) << "not risked on that";
+    deliver(2);
+    EXPECT_FALSE(mayCarry(kDelivery)) << "two deliveries were the same";
+    EXPECT_FALSE(mayCarry(kDelivery, true, "another"));
+    deliver(3);
+    EXPECT_FALSE(mayCarry(kDelivery)) << "they may be again";
+    EXPECT_TRUE(mayCarry(kNothing));
 }
 
-TEST_F(ResponseRulesTest, ADifferenceInTheConnectionHeaderAloneIsNone) {
-    auto sameContent = different(200);
-    sameContent.hasNewContent = false;
-    EXPECT_EQ(judge(sameContent, 0, true), ResponseVerdict::own);
-    EXPECT_TRUE(announces(kDelivery));
+TEST_F(ResponseRulesTest, ARejectionIsFollowedByNoRequestThatMayNotBeRepeated) {
+    makeDistinct();
+    EXPECT_TRUE(mayCarry(kRejection));
+    EXPECT_FALSE(mayCarry(kRejection, kUnsafe));
+    EXPECT_TRUE(mayCarry(kNothing, kUnsafe));
 }
 
-TEST_F(ResponseRulesTest, WhereAnAnnouncedCloseIsIgnoredAConnectionCarriesOneRequest) {
-    const rules::SentRequest first{"e", "a:1", kNothing, true, false, {}};
-    EXPECT_TRUE(rules_.mayReuse(first));
-    EXPECT_FALSE(rules_.mayReuse({"e", "a:1", kDelivery, true, true, {}}));
-    judge(nothing(IoResult::timedOut), 200, true);
-    EXPECT_FALSE(rules_.mayReuse(first));
+TEST_F(ResponseRulesTest, WhereDeliveriesRepeatAConnectionCarriesOneRequestAndSaysSo) {
+    EXPECT_FALSE(announces(kNothing));
+    EXPECT_TRUE(mayReuse());
+    makeRepeating();
+    EXPECT_TRUE(announces(kNothing));
+    EXPECT_FALSE(mayCarry(kDelivery));
+    EXPECT_TRUE(mayReuse()) << "it may yet say that it closes";
+    rules_.judge(request(kNothing, true, kCloseAnnounced), different(200, 1), 0, now_);
+    EXPECT_TRUE(announces(kNothing));
+    EXPECT_FALSE(mayCarry(kDelivery));
+    EXPECT_FALSE(mayReuse());
+    EXPECT_FALSE(rules_.mayReuse(request(kNothing, true, kCloseAnnounced, "other")));
     EXPECT_TRUE(rules_.mayReuse({"e", "another:1", kNothing, true, false, {}}))
         << "another server has that address";
 }
 
-TEST_F(ResponseRulesTest, EndpointsThatAreNotUsedAreForgotten) {
-    judge(different(200));
-    judge(nothing(IoResult::timedOut), 200);
+TEST_F(ResponseRulesTest, AResponseThatSaysCloseIsToldApartByThat) {
+    makeRepeating();
+    rules_.judge(request(kNothing, true, kCloseAnnounced), different(200, 1, kSaysClose), 0, now_);
+    EXPECT_FALSE(announces(kNothing));
+    EXPECT_TRUE(mayReuse());
+    for (const bool mayBeRepeated : {true, kUnsafe})
+        for (const auto& before : {kDelivery, kRejection}) EXPECT_TRUE(mayCarry(before, mayBeRepeated));
     EXPECT_TRUE(announces(kDelivery));
+    EXPECT_TRUE(announces(kRejection, kUnsafe));
+}
+
+// The endpoint may have been replaced by another one, with its name and address.
+TEST_F(ResponseRulesTest, AResponseThatDoesNotSayCloseAnyMoreIsNotCountedOn) {
+    makeRepeating();
+    rules_.judge(request(kNothing, true, kCloseAnnounced), different(200, 1, kSaysClose), 0, now_);
+    EXPECT_EQ(judge(duplicate(200), 0, kCloseAnnounced), ResponseVerdict::repeated);
+    EXPECT_EQ(judge(nothing(), 200, kCloseAnnounced), ResponseVerdict::noneProven);
+    EXPECT_FALSE(mayCarry(kDelivery));
+    EXPECT_TRUE(announces(kNothing));
+}
+
+TEST_F(ResponseRulesTest, AnEndpointWhoseDeliveriesBeginToRepeatIsNotTakenForDistinct) {
+    makeDistinct();
+    EXPECT_EQ(judge(duplicate(200)), ResponseVerdict::repeated);
+    EXPECT_EQ(judge(different(200, 3), 200), ResponseVerdict::own);
+    EXPECT_TRUE(mayCarry(kDelivery)) << "it was a duplicate";
+    EXPECT_EQ(judge(duplicate(200)), ResponseVerdict::repeated);
+    EXPECT_EQ(judge(nothing(), 200), ResponseVerdict::noneProven);
+    EXPECT_FALSE(mayCarry(kDelivery));
+}
+
+TEST_F(ResponseRulesTest, EndpointsThatAreNotUsedAreForgotten) {
+    makeRepeating();
+    EXPECT_TRUE(announces(kNothing));
     now_ += 61s;
-    rules_.judge({"other", "b:1", kDelivery, true, false, {}}, different(200), 0, now_);
-    judge(different(200));
-    EXPECT_FALSE(announces(kDelivery));
+    rules_.judge({"other", "b:1", kDelivery, true, false, {}}, different(200, 1), 0, now_);
+    deliver(1);
+    EXPECT_FALSE(announces(kNothing));
 }
 
 TEST_F(ResponseRulesTest, AResponseThatComesUnaskedAndIsNoDuplicateIsAViolation) {
