Take no noise behind a repeated response for proof that the response is the request's own

Cause: a response with the bytes of an earlier one was believed if what can't be parsed came within 50 ms behind it, as noise that belongs to it. The request's own response may be just that noise: the message ran, the copy of an earlier 503 was held for its answer, and it was sent again. Any class, status and pattern of an endpoint's responses was open to it; of a 200, the message was lost. Change: bytes that can't be parsed behind a repeated response leave the outcome unknown, at any delay. The time between them is not looked at any more. Why this works: only a response that differs from all that its connection carried proves itself. Replaced, stricter: the expectations of ResponseRules that noise within 50 ms belongs to a repeated response. The verdict repeated_was_own occurs no more; the counter response_verdicts_total and its other labels stay.

--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -40,13 +40,6 @@
     return http::formatRequest("POST", "/hook", dueAttempt.address, fields, *dueAttempt.body);
 }
 
-/// The time from a repeated response to the one that follows it, or to the end of the wait for that.
-std::chrono::nanoseconds timeAfter(const std::optional<http_client::ReceivedResponse>& repeated,
-                                   const http_client::ReceivedResponse& response) {
-    if (!repeated) return {};
-    return response.firstByteAt.value_or(net::Steady::now()) - repeated->firstByteAt.value();
-}
-
 /// What came back for a request, and what it was taken for.
 struct JudgedResponse {
     const http_client::ReceivedResponse& response;
@@ -239,10 +232,9 @@
             (repeated || response.message.status != rules::kDelivered))
             return resultWithoutOwn(AttemptStatus::cancelled, response, repeated);
         const auto resemblance = connection.history().compare(response.bytes);
-        const rules::ArrivedResponse arrived{
-            response.completeness,          resemblance,
-            response.message.status,        http_client::contentHash(response.message),
-            !response.message.keepsAlive(), timeAfter(repeated, response)};
+        const rules::ArrivedResponse arrived{response.completeness, resemblance, response.message.status,
+                                             http_client::contentHash(response.message),
+                                             !response.message.keepsAlive()};
         const auto verdict = responseRules_.judge(request, arrived, repeated ? repeated->message.status : 0,
                                                   net::Steady::now());
         logResponse(dueAttempt, connection, {response, sentAt, resemblance, verdict});
@@ -256,7 +248,6 @@
                 keep = response.keepsAlive() && responseRules_.mayReuse(request);
                 return resultOfOwn(response);
             case ResponseVerdict::repeated: repeated = std::move(response); break;
-            case ResponseVerdict::repeatedWasOwn: return resultOfEarlier(*repeated);
             case ResponseVerdict::noneProven:
                 return resultWithoutOwn(response.lastIo == net::IoResult::timedOut ? AttemptStatus::timedOut
                                                                                    : AttemptStatus::reset,
--- a/src/delivery/response_result.cpp
+++ b/src/delivery/response_result.cpp
@@ -122,13 +122,6 @@
     return result;
 }
 
-AttemptResult resultOfEarlier(const ReceivedResponse& response) {
-    auto result = resultOfOwn(response);
-    const std::chrono::nanoseconds passed = net::Steady::now() - response.firstByteAt.value();
-    result.wait = std::max(result.wait - passed, std::chrono::nanoseconds(0));
-    return result;
-}
-
 AttemptResult resultOfUnattributed(const ReceivedResponse& response,
                                    const std::optional<ReceivedResponse>& earlier) {
     auto result = resultOfPart(response, Reliability::unattributed);
--- a/src/delivery/response_result.hpp
+++ b/src/delivery/response_result.hpp
@@ -21,9 +21,6 @@
 /// The result of an attempt whose own response this is, as far as it was received.
 decisions::AttemptResult resultOfOwn(const http_client::ReceivedResponse& response);
 
-/// The same for a response that was received a while ago: part of the wait that it announced has passed.
-decisions::AttemptResult resultOfEarlier(const http_client::ReceivedResponse& response);
-
 /// The result of an attempt for which this came, of which it can't be said what belongs to the request.
 decisions::AttemptResult resultOfUnattributed(const http_client::ReceivedResponse& response,
                                               const std::optional<http_client::ReceivedResponse>& earlier);
--- a/src/rules/response_rules.cpp
+++ b/src/rules/response_rules.cpp
@@ -12,13 +12,12 @@
 
 constexpr int kRequestTimeout = 408;              // sent by servers that close an idle connection
 constexpr std::chrono::seconds kForgetAfter{60};  // endpoints that are not used
-constexpr std::chrono::milliseconds kMaxNoiseDelay{50};
 
 }  // namespace
 
 std::string_view name(ResponseVerdict verdict) {
-    static constexpr std::array<std::string_view, 5> kNames{"own", "repeated", "repeated_was_own",
-                                                            "none_was_own", "unattributable"};
+    static constexpr std::array<std::string_view, 4> kNames{"own", "repeated", "none_was_own",
+                                                            "unattributable"};
     return kNames[static_cast<std::size_t>(verdict)];
 }
 
@@ -50,20 +49,12 @@
     return verdict;
 }
 
-/// Noise, or a part of a duplicate, right behind a response: none that has a status of its own.
-bool ResponseRules::isNoiseBehind(const ArrivedResponse& response) {
-    const bool hasOwnStatus = response.status != 0 && response.resemblance == Resemblance::none;
-    return !hasOwnStatus && response.afterRepeated <= kMaxNoiseDelay;
-}
-
 ResponseVerdict ResponseRules::verdictOn(const ArrivedResponse& response, bool followsRepeated) {
     if (response.completeness == Completeness::none)
         return followsRepeated ? ResponseVerdict::noneProven : ResponseVerdict::own;
     if (response.resemblance == Resemblance::duplicate) return ResponseVerdict::repeated;
-    const bool complete = response.completeness == Completeness::complete;
-    if (followsRepeated && !complete && isNoiseBehind(response)) return ResponseVerdict::repeatedWasOwn;
     if (response.resemblance != Resemblance::none) return ResponseVerdict::unattributable;
-    if (complete) return ResponseVerdict::own;
+    if (response.completeness == Completeness::complete) return ResponseVerdict::own;
     // It is no part of an earlier response. Behind a repeated one it may be the request's own, or noise that
     // belongs to that.
     return followsRepeated ? ResponseVerdict::unattributable : ResponseVerdict::own;
--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -11,7 +11,7 @@
 // original.
 //
 // A response that repeats an earlier one proves nothing, and neither does what comes behind it: an end of the
-// connection may have crossed the request.
+// connection may have crossed the request, and bytes that can't be parsed may be the request's own response.
 // The client reads on, and a response that differs counts. Without one the outcome of the request is unknown.
 //
 // So that this is rare, a request goes to a used connection only if its response can be expected to differ:
@@ -64,17 +64,14 @@
     int status = 0;
     std::size_t content = 0;  ///< a hash of what it says, whatever it says of the connection
     bool saysClose = false;   ///< it says that the connection closes
-    /// Since the repeated response that it follows, if it does.
-    std::chrono::nanoseconds afterRepeated{};
 };
 
 /// What a response means for the request that waits on its connection.
 enum class ResponseVerdict {
-    own,             ///< it is the request's own, or none came
-    repeated,        ///< it repeats an earlier response: read on
-    repeatedWasOwn,  ///< noise came right behind: the repeated response is the request's own
-    noneProven,      ///< nothing more came behind a repeated response: the request's outcome is unknown
-    unattributable   ///< it can't be said what belongs to the request: its outcome is unknown
+    own,            ///< it is the request's own, or none came
+    repeated,       ///< it repeats an earlier response: read on
+    noneProven,     ///< nothing more came behind a repeated response: the request's outcome is unknown
+    unattributable  ///< it can't be said what belongs to the request: its outcome is unknown
 };
 /// The name used in logs and metrics.
 std::string_view name(ResponseVerdict verdict);
@@ -112,7 +109,6 @@
         net::Deadline usedAt;
     };
 
-    static bool isNoiseBehind(const ArrivedResponse& response);
     static ResponseVerdict verdictOn(const ArrivedResponse& response, bool followsRepeated);
     Endpoint known(const std::string& endpoint, const std::string& address) const;
     bool differsWithoutClose(const SentRequest& request, const Endpoint& endpoint) const;
--- a/tests/program/response_of_another_request_test.cpp
+++ b/tests/program/response_of_another_request_test.cpp
@@ -248,6 +248,21 @@
     EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
 }
 
+// An unsafe message that ran was held for turned away: its response was noise, behind a copy of a 503.
+TEST_F(ResponseOfAnotherRequest, NoiseBehindACopyOfARejectionRunsNoMessageTwice) {
+    start("side_effect");
+    endpoint_.setSaysClose(true);
+    deliverAlike();
+    endpoint_.reply("m", {{503, milliseconds(10), {}}, {kNoise, milliseconds(20), {}}});
+    sendAgain("m");
+    handInMessage("m");
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.runs("m") > 0; }));
+    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
+    EXPECT_EQ(endpoint_.runs("m"), 1);
+    EXPECT_TRUE(ends("m"));
+    EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
+}
+
 TEST_F(ResponseOfAnotherRequest, ACopyOfAnAcknowledgementLosesNoNotice) {
     start("side_effect");
     endpoint_.reply("first", {{500, milliseconds(10), {}}});
--- a/tests/rules/response_rules_test.cpp
+++ b/tests/rules/response_rules_test.cpp
@@ -21,16 +21,16 @@
 
 /// A complete response that differs from all before it; `content`: what it says.
 ArrivedResponse different(int status, std::size_t content, bool saysClose = false) {
-    return {Completeness::complete, Resemblance::none, status, content, saysClose, {}};
+    return {Completeness::complete, Resemblance::none, status, content, saysClose};
 }
 ArrivedResponse duplicate(int status) {
-    return {Completeness::complete, Resemblance::duplicate, status, 0, false, {}};
+    return {Completeness::complete, Resemblance::duplicate, status, 0, false};
 }
 ArrivedResponse nothing() { return {}; }
 ArrivedResponse part(Resemblance resemblance, int status = 200) {
-    return {Completeness::partial, resemblance, status, 0, false, {}};
+    return {Completeness::partial, resemblance, status, 0, false};
 }
-ArrivedResponse noise() { return {Completeness::malformed, Resemblance::none, 0, 0, false, {}}; }
+ArrivedResponse noise() { return {Completeness::malformed, Resemblance::none, 0, 0, false}; }
 
 class ResponseRulesTest : public testing::Test {
   protected:
@@ -101,18 +101,24 @@
     EXPECT_EQ(judge(nothing(), 200), ResponseVerdict::noneProven);
 }
 
-TEST_F(ResponseRulesTest, ACutResponseBehindARepeatedOneMayBeTheOwnOne) {
-    auto late = noise();
-    late.afterRepeated = 51ms;
-    EXPECT_EQ(judge(part(Resemblance::none, 503), 200, kCloseAnnounced), ResponseVerdict::unattributable);
-    EXPECT_EQ(judge(noise(), 200, kCloseAnnounced), ResponseVerdict::repeatedWasOwn);
-    EXPECT_EQ(judge(late, 200, kCloseAnnounced), ResponseVerdict::unattributable) << "the own one, spoilt";
+// A message that ran was held for turned away: the noise behind a copy was its own response.
+TEST_F(ResponseRulesTest, NoNoiseBehindARepeatedResponseProvesIt) {
+    for (const bool announced : {false, kCloseAnnounced})
+        for (const int status : {200, 410, 429, 500, 503, 504}) {
+            EXPECT_EQ(judge(noise(), status, announced), ResponseVerdict::unattributable) << status;
+            for (const auto resemblance : {Resemblance::none, Resemblance::truncated, Resemblance::spliced})
+                EXPECT_EQ(judge(part(resemblance, status), status, announced),
+                          ResponseVerdict::unattributable)
+                    << status;
+        }
+    makeDistinct("e");
+    EXPECT_EQ(judge(part(Resemblance::none), 200), ResponseVerdict::unattributable);
 }
 
 TEST_F(ResponseRulesTest, APartOfAnEarlierResponseProvesNothing) {
     EXPECT_EQ(judge(part(Resemblance::truncated)), ResponseVerdict::unattributable);
     EXPECT_EQ(judge(part(Resemblance::spliced)), ResponseVerdict::unattributable);
-    EXPECT_EQ(judge({Completeness::complete, Resemblance::spliced, 200, 1, false, {}}),
+    EXPECT_EQ(judge({Completeness::complete, Resemblance::spliced, 200, 1, false}),
               ResponseVerdict::unattributable);
 }
 
