Recognise parts of long responses and copies of old ones on their connection

Change: what agrees with all that is kept of an earlier response may be a part of it; a hash is kept of up to 256 older responses, and a connection that has carried more is not used again. A version within what two responses share (Via) makes neither a part. Evidence: TakesNoPartOfALongResponseForAnother, SeesAPartWhoseNextByteWouldHaveBeenTheSame and KnowsDuplicatesOfOldResponsesUntilItIsFull, red before. KeepsOnlyTheLastFew expected that an old copy passes; its successor expects it to be recognised, and the bound. Price: 2 KB a connection at the most, and a new connection after 264 different responses.

--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -245,7 +245,8 @@
             case ResponseVerdict::own:
                 connection.responseReceived(response);
                 if (response.leftover > 0) reportUnsolicited(connection, reader.following(), responseRules_);
-                keep = response.keepsAlive() && responseRules_.mayReuse(request);
+                keep = response.keepsAlive() && !connection.history().isFull() &&
+                       responseRules_.mayReuse(request);
                 return resultOfOwn(response);
             case ResponseVerdict::repeated: repeated = std::move(response); break;
             case ResponseVerdict::noneProven:
--- a/src/delivery/endpoint_connection.cpp
+++ b/src/delivery/endpoint_connection.cpp
@@ -26,7 +26,7 @@
 void EndpointConnection::responseReceived(const http_client::ReceivedResponse& response) {
     ++responses_;
     (response.message.status == 200 ? carried_.deliveries : carried_.rejections) = true;
-    history_.add(response.bytes, http_client::contentHash(response.message));
+    history_.add(response.bytes);
 }
 
 void EndpointConnection::close(std::string_view reason) {
--- a/src/http_client/response_history.cpp
+++ b/src/http_client/response_history.cpp
@@ -8,13 +8,19 @@
 namespace {
 
 constexpr std::size_t kMaxResponses = 8;
+constexpr std::size_t kMaxOlderResponses = 256;
 constexpr std::size_t kMaxBeginningBytes = 1024;
 constexpr std::string_view kResponseBeginning = "HTTP/1.";
 
-/// True if the text begins like a response, or is too short to tell.
-bool beginsLikeResponse(std::string_view text) {
-    const auto size = std::min(text.size(), kResponseBeginning.size());
-    return text.substr(0, size) == kResponseBeginning.substr(0, size);
+std::size_t hashOf(std::string_view bytes) { return std::hash<std::string_view>{}(bytes); }
+
+/// True if a response, or what may become one, begins between these places.
+bool responseBegins(std::string_view bytes, std::size_t earliest, std::size_t latest) {
+    for (std::size_t at = std::max<std::size_t>(earliest, 1); at <= latest && at < bytes.size(); ++at) {
+        const auto rest = bytes.substr(at, kResponseBeginning.size());
+        if (rest == kResponseBeginning.substr(0, rest.size())) return true;
+    }
+    return false;
 }
 
 }  // namespace
@@ -34,16 +40,14 @@
     return std::hash<std::string>{}(content);
 }
 
-bool ResponseHistory::hasContent(std::size_t contentHash) const {
-    return std::any_of(responses_.begin(), responses_.end(),
-                       [&](const Response& earlier) { return earlier.contentHash == contentHash; });
-}
+bool ResponseHistory::isFull() const { return olderResponses_.size() >= kMaxOlderResponses; }
 
-void ResponseHistory::add(std::string_view bytes, std::size_t contentHash) {
-    const auto same = [&](const Response& earlier) { return isDuplicate(earlier, bytes); };
-    if (std::any_of(responses_.begin(), responses_.end(), same)) return;
-    responses_.push_back({std::string(bytes.substr(0, kMaxBeginningBytes)), bytes.size(), contentHash});
-    if (responses_.size() > kMaxResponses) responses_.pop_front();
+void ResponseHistory::add(std::string_view bytes) {
+    if (compare(bytes) == Resemblance::duplicate) return;
+    responses_.push_back({std::string(bytes.substr(0, kMaxBeginningBytes)), bytes.size(), hashOf(bytes)});
+    if (responses_.size() <= kMaxResponses) return;
+    if (!isFull()) olderResponses_.push_back(responses_.front().hash);
+    responses_.pop_front();
 }
 
 Resemblance ResponseHistory::compare(std::string_view bytes) const {
@@ -54,7 +58,8 @@
         if (resemblance == Resemblance::duplicate) return resemblance;
         strongest = std::max(strongest, resemblance);
     }
-    return strongest;
+    const auto older = std::find(olderResponses_.begin(), olderResponses_.end(), hashOf(bytes));
+    return older == olderResponses_.end() ? strongest : Resemblance::duplicate;
 }
 
 bool ResponseHistory::isDuplicate(const Response& earlier, std::string_view bytes) {
@@ -67,10 +72,15 @@
     const auto [end, unused] = std::mismatch(
         bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(limit), earlier.beginning.begin());
     const auto common = static_cast<std::size_t>(end - bytes.begin());
-    if (common == bytes.size()) return Resemblance::truncated;
-    if (common > 0 && common < earlier.size && beginsLikeResponse(bytes.substr(common)))
-        return Resemblance::spliced;
-    return Resemblance::none;
+    // Behind its kept bytes an earlier response may be anything: what agrees with all of them may be a part
+    // of it.
+    const bool agrees = common == earlier.beginning.size() && common < earlier.size;
+    if (bytes.size() < earlier.size && (common == bytes.size() || agrees)) return Resemblance::truncated;
+    // The first bytes of what follows a part may happen to be those that the part would have had next.
+    constexpr auto kMaxOverlap = kResponseBeginning.size() - 1;
+    const auto earliest = common - std::min(common, kMaxOverlap);
+    const auto latest = agrees ? earlier.size - 1 : common;
+    return responseBegins(bytes, earliest, latest) ? Resemblance::spliced : Resemblance::none;
 }
 
 }  // namespace laurelhaven::http_client
--- a/src/http_client/response_history.hpp
+++ b/src/http_client/response_history.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "http/message.hpp"
 
@@ -32,22 +33,24 @@
 
 class ResponseHistory {
   public:
-    /// Adds a complete response. Only the last few different ones are kept, and only their first bytes.
-    void add(std::string_view bytes, std::size_t contentHash);
+    /// Adds a complete response. Of the last few different ones the first bytes are kept, of older ones a
+    /// hash.
+    void add(std::string_view bytes);
     Resemblance compare(std::string_view bytes) const;
-    /// True if one of the responses has this content.
-    bool hasContent(std::size_t contentHash) const;
     bool empty() const { return responses_.empty(); }
+    /// True if a further response could not be compared with all earlier ones.
+    bool isFull() const;
 
   private:
     struct Response {
         std::string beginning;
-        std::size_t size, contentHash;
+        std::size_t size, hash;
     };
     static Resemblance compare(const Response& earlier, std::string_view bytes);
     static bool isDuplicate(const Response& earlier, std::string_view bytes);
 
-    std::deque<Response> responses_;  // the oldest first
+    std::deque<Response> responses_;           // the oldest first
+    std::vector<std::size_t> olderResponses_;  // hashes of those that are not in responses_ any more
 };
 
 }  // namespace laurelhaven::http_client
--- a/tests/http_client/response_history_test.cpp
+++ b/tests/http_client/response_history_test.cpp
@@ -16,20 +16,20 @@
 TEST(ResponseHistory, TellsDuplicatesFromOtherResponses) {
     ResponseHistory history;
     EXPECT_EQ(history.compare(kOk), Resemblance::none) << "the first response of a connection";
-    history.add(kOk, 0);
+    history.add(kOk);
     EXPECT_EQ(history.compare(""), Resemblance::none) << "nothing was received";
     EXPECT_EQ(history.compare(kOk), Resemblance::duplicate);
     EXPECT_EQ(history.compare(kFull), Resemblance::none);
     EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), Resemblance::none);
     EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx"), Resemblance::none);
     EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nX: never ends"), Resemblance::none);
-    history.add(kFull, 0);
+    history.add(kFull);
     EXPECT_EQ(history.compare(kOk), Resemblance::duplicate) << "any earlier response may be sent again";
 }
 
 TEST(ResponseHistory, RecognisesEachPlaceWhereADuplicateMayBreakOff) {
     ResponseHistory history;
-    history.add(kOk, 0);
+    history.add(kOk);
     for (std::size_t cut = 1; cut < kOk.size(); ++cut) {
         const auto beginning = kOk.substr(0, cut);
         EXPECT_EQ(history.compare(beginning), Resemblance::truncated) << cut;
@@ -40,18 +40,54 @@
 TEST(ResponseHistory, ComparesLongResponsesByTheirBeginningAndSize) {
     ResponseHistory history;
     const std::string longOne = kOk + std::string(5000, 'x');
-    history.add(longOne, 0);
+    history.add(longOne);
     EXPECT_EQ(history.compare(longOne), Resemblance::duplicate);
     EXPECT_EQ(history.compare(longOne + "x"), Resemblance::none);
 }
 
-TEST(ResponseHistory, KeepsOnlyTheLastFew) {
+// What is cut behind the bytes that are kept was held for a response that differs, and its first line
+// counted.
+TEST(ResponseHistory, TakesNoPartOfALongResponseForAnother) {
     ResponseHistory history;
-    history.add(kOk, 0);
-    for (int i = 0; i < 9; ++i)
-        history.add("HTTP/1.1 200 OK\r\nSrv-Load: x0=0." + std::to_string(i) + "\r\n\r\n", 0);
-    EXPECT_EQ(history.compare(kOk), Resemblance::none);
-    EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nSrv-Load: x0=0.8\r\n\r\n"), Resemblance::duplicate);
+    const std::string longOne = "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x');
+    history.add(longOne);
+    for (const std::size_t cut : {1023u, 1024u, 1025u, 3000u}) {
+        const auto beginning = longOne.substr(0, cut);
+        EXPECT_EQ(history.compare(beginning), Resemblance::truncated) << cut;
+        EXPECT_EQ(history.compare(beginning + kFull + std::string(6000, ' ')), Resemblance::spliced) << cut;
+    }
+}
+
+TEST(ResponseHistory, SeesAPartWhoseNextByteWouldHaveBeenTheSame) {
+    ResponseHistory history;
+    history.add("HTTP/1.1 200 OK\r\nX-Host: Here\r\n\r\n");
+    EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nX-Host: " + kFull), Resemblance::spliced);
+    EXPECT_EQ(history.compare("HTTP/1.1 200 OK\r\nX-Host: H" + kFull), Resemblance::spliced);
+}
+
+TEST(ResponseHistory, AVersionWithinWhatIsSharedIsNoPart) {
+    ResponseHistory history;
+    const std::string begin = "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 front\r\nX: ";
+    history.add(begin + "1\r\n\r\n");
+    EXPECT_EQ(history.compare(begin + "2\r\n\r\n"), Resemblance::none);
+}
+
+TEST(ResponseHistory, KnowsDuplicatesOfOldResponsesUntilItIsFull) {
+    ResponseHistory history;
+    const auto numbered = [](int i) {
+        return "HTTP/1.1 200 OK\r\nSrv-Load: x0=" + std::to_string(i) + "\r\n\r\n";
+    };
+    history.add(kOk);
+    int count = 0;
+    for (; !history.isFull(); ++count) {
+        ASSERT_LT(count, 1000) << "it must be bounded";
+        history.add(numbered(count));
+        history.add(numbered(count));
+    }
+    EXPECT_GT(count, 200);
+    EXPECT_EQ(history.compare(kOk), Resemblance::duplicate);
+    for (int i = 0; i < count; ++i) EXPECT_EQ(history.compare(numbered(i)), Resemblance::duplicate) << i;
+    EXPECT_EQ(history.compare(numbered(count)), Resemblance::none);
 }
 
 }  // namespace
