Compare the first response on an idle connection without what follows it

Found by the soak: a copy with noise right behind it on an idle connection was compared as one, differed from what the connection had carried, and was counted as a response of another request (own_response). Change: the first whole response is compared by its own bytes.

--- a/src/delivery/idle_activity.cpp
+++ b/src/delivery/idle_activity.cpp
@@ -7,25 +7,31 @@
 namespace laurelhaven::delivery {
 namespace {
 
-/// The status of the response that these bytes begin with; 0: they hold no whole response.
-int statusOf(std::string_view bytes) {
+/// The response that these bytes begin with.
+struct FirstResponse {
+    std::string_view bytes;  ///< all of them, if they hold no whole response
+    int status = 0;          ///< 0: they hold no whole response
+};
+
+FirstResponse firstOf(std::string_view bytes) {
     http::Parser parser(http::Parser::Role::response);
-    return parser.feed(bytes) == http::Parser::State::complete ? parser.message().status : 0;
+    if (parser.feed(bytes) != http::Parser::State::complete) return {bytes, 0};
+    return {bytes.substr(0, bytes.size() - parser.leftover()), parser.message().status};
 }
 
 }  // namespace
 
 void reportUnsolicited(const EndpointConnection& connection, std::string_view bytes,
                        rules::ResponseRules& responseRules) {
-    const auto resemblance = connection.history().compare(bytes);
-    const int status = statusOf(bytes);
+    const auto response = firstOf(bytes);
+    const auto resemblance = connection.history().compare(response.bytes);
     metrics::counter("unsolicited_responses_total", "resemblance", name(resemblance)).add();
     (log::debug() << "bytes arrived that no request waits for")
         .kv("connection", connection.id())
         .kv("endpoint", connection.endpoint())
-        .kv("status", status)
+        .kv("status", response.status)
         .kv("resemblance", name(resemblance));
-    responseRules.unsolicited(connection.lastMessage(), status, resemblance);
+    responseRules.unsolicited(connection.lastMessage(), response.status, resemblance);
 }
 
 std::string_view activityOnIdle(const EndpointConnection& connection, rules::ResponseRules& responseRules) {
