Read on for a while behind a repeated rejection, before a request is given up

Cause: a repeatable request was given up at once at a response with the bytes of an earlier rejection. Where that was a copy, the request's own 410, or its 429 with a wait, came right behind it and was not read. Change: what follows is read for up to 150 ms (at most until the attempt's time is up); a response that differs counts, with its end or its wait. Rejections and waits are told as soon as a request arrives. Without one the outcome is what it was: unknown, with the wait that was read. ResponseOfAnotherRequest.A410BehindACopyOfARejectionIsRead and AWaitBehindACopyOfARejectionIsHeeded. Price: 150 ms of a slot for each repeated rejection that is the request's own. What comes later than that is still not read (open risk). Replaced: the expectation of ResponseRules that such a request is given up at once.

--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -225,8 +225,9 @@
     using rules::ResponseVerdict;
     http_client::ResponseReader reader(connection.fd(), {{}, kMaxResponseBytes, kResponseRemainderTimeout});
     std::optional<http_client::ReceivedResponse> repeated;
+    auto readUntil = request.deadline;
     for (;;) {
-        auto response = reader.next(request.deadline);
+        auto response = reader.next(readUntil);
         // A cancellation shuts the connection, which must not count as an end by the endpoint.
         if (dueAttempt.cancelToken.stop_requested() && !response.isComplete() &&
             (repeated || response.message.status != rules::kDelivered))
@@ -248,8 +249,14 @@
                 keep = response.keepsAlive() && !connection.history().isFull() &&
                        responseRules_.mayReuse(request);
                 return resultOfOwn(response);
-            case ResponseVerdict::repeated: repeated = std::move(response); break;
+            case ResponseVerdict::repeated:
+                repeated = std::move(response);
+                readUntil = rules::ResponseRules::readOnUntil(request, repeated->message.status,
+                                                              repeated->firstByteAt.value());
+                break;
             case ResponseVerdict::noneProven:
+                if (repeated->message.status != rules::kDelivered && !request.closeAnnounced)
+                    return resultOfUnattributed(*repeated, response);
                 return resultWithoutOwn(response.lastIo == net::IoResult::timedOut ? AttemptStatus::timedOut
                                                                                    : AttemptStatus::reset,
                                         response, repeated);
--- a/src/rules/response_rules.cpp
+++ b/src/rules/response_rules.cpp
@@ -1,5 +1,6 @@
 #include "rules/response_rules.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include "rules/response_meaning.hpp"
@@ -12,6 +13,9 @@
 
 constexpr int kRequestTimeout = 408;              // sent by servers that close an idle connection
 constexpr std::chrono::seconds kForgetAfter{60};  // endpoints that are not used
+// An endpoint rejects a request, or tells a wait, as soon as it has arrived. The repeated rejection mostly is
+// the request's own, and to await another one takes a slot.
+constexpr std::chrono::milliseconds kReadOnAfterRejection{150};
 
 }  // namespace
 
@@ -39,16 +43,18 @@
                                      int repeatedStatus, net::Deadline now) {
     const std::lock_guard lock(mutex_);
     Endpoint& endpoint = entry(request, now);
-    auto verdict = verdictOn(response, repeatedStatus != 0);
-    // Reading on after a rejection would take as long as an attempt may, each time that the rejection is the
-    // request's own, as it mostly is.
-    if (verdict == ResponseVerdict::repeated && response.status != kDelivered && !request.closeAnnounced)
-        verdict = ResponseVerdict::unattributable;
+    const auto verdict = verdictOn(response, repeatedStatus != 0);
     if (verdict == ResponseVerdict::own) learnFromOwn(endpoint, request, response);
     else if (verdict != ResponseVerdict::repeated) learnFromUnknown(endpoint, request, repeatedStatus);
     return verdict;
 }
 
+net::Deadline ResponseRules::readOnUntil(const SentRequest& request, int repeatedStatus,
+                                         net::Deadline firstByteAt) {
+    if (request.closeAnnounced || repeatedStatus == kDelivered) return request.deadline;
+    return std::min(request.deadline, firstByteAt + kReadOnAfterRejection);
+}
+
 ResponseVerdict ResponseRules::verdictOn(const ArrivedResponse& response, bool followsRepeated) {
     if (response.completeness == Completeness::none)
         return followsRepeated ? ResponseVerdict::noneProven : ResponseVerdict::own;
--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -89,6 +89,10 @@
     /// response that this one follows; 0: none.
     ResponseVerdict judge(const SentRequest& request, const ArrivedResponse& response, int repeatedStatus,
                           net::Deadline now);
+    /// Until when another response is awaited behind a repeated one with this status, of which `firstByteAt`
+    /// was the first byte.
+    static net::Deadline readOnUntil(const SentRequest& request, int repeatedStatus,
+                                     net::Deadline firstByteAt);
     /// Whether the connection may be kept for another request after the request's own response.
     bool mayReuse(const SentRequest& request) const;
     /// A response arrived that no request waits for. Counts a violation if it is no duplicate: then the
--- a/tests/program/response_of_another_request_test.cpp
+++ b/tests/program/response_of_another_request_test.cpp
@@ -220,6 +220,34 @@
     EXPECT_EQ(endpointProxy_.connections() - before, 1u + static_cast<unsigned>(endpoint_.calls("next")));
 }
 
+// A request was given up at a copy of a rejection, and its own 410 was not read: it was sent on.
+TEST_F(ResponseOfAnotherRequest, A410BehindACopyOfARejectionIsRead) {
+    start("token");
+    deliverSome();
+    endpoint_.reply("m", {{503, milliseconds(10), {}}, {410, milliseconds(30), {}}});
+    sendAgain("m");
+    handInMessage("m");
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.calls("m") == 2; }));
+    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
+    EXPECT_EQ(endpoint_.calls("m"), 2) << "sent on after a 410";
+    EXPECT_EQ(platform_.of("m"), 0u) << "nothing is owed";
+    EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
+}
+
+// A call was given up at a copy of a rejection, and the wait that it was told was not read.
+TEST_F(ResponseOfAnotherRequest, AWaitBehindACopyOfARejectionIsHeeded) {
+    start("token");
+    deliverSome();
+    endpoint_.reply("m", {{503, milliseconds(10), {}}, {429, milliseconds(30), {{"Retry-After", "1.500"}}}});
+    sendAgain("m");
+    handInMessage("m");
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.calls("m") == 2; }));
+    const auto called = net::Steady::now();
+    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.calls("m") == 3; }));
+    EXPECT_GE(net::Steady::now() - called, milliseconds(1400)) << "called during a wait";
+    EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
+}
+
 // A connection that has carried a rejection carries an unsafe message only where a copy can be told.
 TEST_F(ResponseOfAnotherRequest, ACopyOfARejectionMeetsNoUnsafeMessageWhereItCannotBeTold) {
     start("side_effect");
--- a/tests/rules/response_rules_test.cpp
+++ b/tests/rules/response_rules_test.cpp
@@ -87,9 +87,25 @@
     }
 }
 
-TEST_F(ResponseRulesTest, ARepeatedRejectionLeavesOpenWhetherTheRequestHasRun) {
-    for (const int status : {410, 429, 500, 503, 504})
-        EXPECT_EQ(judge(duplicate(status)), ResponseVerdict::unattributable) << status;
+// A request was given up at a copy of a rejection, and its own 410, or the wait that it was told, was not
+// read.
+TEST_F(ResponseRulesTest, ARepeatedRejectionIsReadOnBehindForAWhile) {
+    for (const int status : {410, 429, 500, 503, 504}) {
+        EXPECT_EQ(judge(duplicate(status)), ResponseVerdict::repeated) << status;
+        EXPECT_EQ(judge(different(410, 1), status), ResponseVerdict::own) << status;
+        EXPECT_EQ(judge(nothing(), status), ResponseVerdict::noneProven) << status;
+    }
+    auto sent = request(kRejection);
+    sent.deadline = now_ + 10s;
+    const auto until = rules::ResponseRules::readOnUntil(sent, 503, now_);
+    EXPECT_GE(until, now_ + 100ms) << "a rejection comes at once, and a round trip may take as long";
+    EXPECT_LE(until, now_ + 250ms) << "it takes a slot";
+    EXPECT_EQ(rules::ResponseRules::readOnUntil(sent, 200, now_), sent.deadline);
+    sent.closeAnnounced = true;
+    EXPECT_EQ(rules::ResponseRules::readOnUntil(sent, 503, now_), sent.deadline) << "the end tells it";
+    sent.closeAnnounced = false;
+    sent.deadline = now_ + 20ms;
+    EXPECT_EQ(rules::ResponseRules::readOnUntil(sent, 503, now_), sent.deadline);
 }
 
 // A message that reached nobody was held for delivered: an end of the connection had crossed its request.
