--- a/lab/soak/partner.hpp
+++ b/lab/soak/partner.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "listing/listing.hpp"
@@ -43,6 +44,9 @@
     bool turnAway(std::uint64_t call, Connection& connection, milliseconds wait);
     bool turnAwayFull(std::uint64_t call, Connection& connection);
     bool answerWithNoise(std::uint64_t call, Connection& connection);
+    /// Behind noise nothing on a connection can be told apart any more.
+    void markUnreadable(const Connection& connection);
+    bool isReadable(const Connection& connection);
     bool endAttempts(std::uint64_t call, Connection& connection, int status);
     /// Texts that are to be sent again, by connection; guarded by chanceMutex_.
     using Copies = std::map<std::uint64_t, std::string>;
@@ -63,6 +67,7 @@
     std::map<std::string, std::unique_ptr<Server>> servers_;
     std::deque<std::string> current_;
     Copies copies_, lateCopies_;
+    std::set<std::uint64_t> unreadable_;  ///< numbers of connections; guarded by chanceMutex_
     int opened_ = 0;
 };
 
