Say in the response rules' comment what proves a response, as the code has it

Read once more: the comment wanted a response that differs to be complete, and two of its lines were broken by the formatter. The code takes one that is not whole and no part of an earlier one for the request's own, too (a first line with 200 is true).

--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -7,20 +7,20 @@
 // reports a delivery or a rejection that did not happen. What proves a response to be the request's own:
 //
 // - it is the first response on its connection; or
-// - it is complete and differs from all earlier ones there, as a duplicate has the same bytes as its
-// original.
+// - it differs from all earlier ones there: a duplicate, or a part of one, has the bytes of its original.
 //
 // A response that repeats an earlier one proves nothing, and neither does what comes behind it: an end of the
 // connection may have crossed the request, and bytes that can't be parsed may be the request's own response.
-// The client reads on, and a response that differs counts. Without one the outcome of the request is unknown.
+// The client reads on, and a complete response that differs counts. Without one the outcome of the request is
+// unknown.
 //
 // So that this is rare, a request goes to a used connection only if its response can be expected to differ:
 //
-// - Behind a delivery (status 200) the endpoint's deliveries must have been distinct so far. Where they
-// repeat,
-//   an endpoint that honours an announced close and says so ("Connection: close") tells its last response
-//   apart by that.
-// - Behind a rejection, the same holds for a request that may not be repeated.
+// - Behind a delivery (status 200) the endpoint's deliveries must have been distinct so far. Where they may
+//   repeat, the endpoint must say "Connection: close" in its response to an announced close, which tells
+//   that response apart.
+// - Behind a rejection the endpoint must say so for a request that may not be repeated. Any other request may
+//   follow one.
 //
 // What is learned of an endpoint decides only this, never what a response means: an endpoint may be replaced
 // by another one with the same name and address. No I/O. Safe for use by several threads.
