Share what the two tables of responses have in common

Read once more: the class of messages, the settings for it, the request of a cell and the wait for something stood in ResponseTable and again in CopiedResponseTable. tests/program/message_table.hpp serves both; cells, bounds and assertions are as they were.

--- a/tests/program/copied_response_table_test.cpp
+++ b/tests/program/copied_response_table_test.cpp
@@ -11,6 +11,7 @@
 #include <tuple>
 
 #include "log/log.hpp"
+#include "message_table.hpp"
 #include "program.hpp"
 #include "standin/server.hpp"
 
@@ -19,6 +20,7 @@
 using namespace laurelhaven;
 using namespace check;
 
+constexpr int kSlots = 260, kHeld = 800;  // room for all cells
 constexpr int kDeadlineMs = 6000;
 constexpr milliseconds kPatience{kDeadlineMs + 3000};
 constexpr milliseconds kRest{40};        // after which a connection may be used again
@@ -26,7 +28,6 @@
 constexpr milliseconds kSettled{600};    // after which what has come is on record
 constexpr int kWarmUps = 3;              // deliveries of each endpoint before, which show how they compare
 
-enum class Effect { pure, keyed, unsafe };
 enum class Pattern { alike, distinct };
 enum class Restart { none, kill };
 enum class Before { copy, own };  ///< what is written first
@@ -187,22 +188,6 @@
                         [this](const http::Message& m, lab::Connection& c) { return answer(m, c); }};
 };
 
-std::string settingsFor(Effect effect) {
-    constexpr int kSlots = 260, kHeld = 800;
-    auto text = settings(kSlots, kHeld);
-    const std::string usual = R"("effect":"token")";
-    const std::string wanted = effect == Effect::pure    ? R"("effect":"pure")"
-                               : effect == Effect::keyed ? usual
-                                                         : R"("effect":"side_effect")";
-    return text.replace(text.find(usual), usual.size(), wanted);
-}
-
-std::string requestFor(const std::string& id, std::uint64_t destination) {
-    auto text = handIn(id, kDeadlineMs);
-    const std::string usual = "dest=7";
-    return text.replace(text.find(usual), usual.size(), "dest=" + std::to_string(destination));
-}
-
 class CopiedResponseTable : public testing::TestWithParam<std::tuple<Pattern, Effect, Restart>> {
   protected:
     CopiedResponseTable() {
@@ -214,8 +199,8 @@
         platform_.watch = list(9, true, entries) + "\n";
         program_ = std::make_unique<Program>(folder_.path, platform_, entries);
         program_->end(SIGKILL);
-        program_->configure(
-            configuration(local(program_->port()), platform_.stub.at(), entries, settingsFor(effect())));
+        program_->configure(configuration(local(program_->port()), platform_.stub.at(), entries,
+                                          settingsFor(effect(), kSlots, kHeld)));
         program_->start();
     }
     ~CopiedResponseTable() override { EXPECT_EQ(program_->end(SIGTERM), 0); }
@@ -224,15 +209,8 @@
     static Effect effect() { return std::get<1>(GetParam()); }
     static Restart restart() { return std::get<2>(GetParam()); }
 
-    bool within(milliseconds span, const std::function<bool()>& done) {
-        for (const auto until = net::Steady::now() + span; !done();) {
-            if (net::Steady::now() > until) return false;
-            std::this_thread::sleep_for(milliseconds(5));
-        }
-        return true;
-    }
     void handInMessage(const std::string& id, const Cell& cell) {
-        ASSERT_EQ(program_->status(requestFor(id, cell.destination)), 202) << id;
+        ASSERT_EQ(program_->status(requestFor(id, cell.destination, kDeadlineMs)), 202) << id;
     }
     bool isEnded(const std::string& id) { return endpoints_.deliveries(id) > 0 || platform_.of(id) > 0; }
 
--- a/tests/program/response_table_test.cpp
+++ b/tests/program/response_table_test.cpp
@@ -8,6 +8,7 @@
 #include <tuple>
 
 #include "log/log.hpp"
+#include "message_table.hpp"
 #include "program.hpp"
 #include "scripted_endpoint.hpp"
 
@@ -16,6 +17,7 @@
 using namespace laurelhaven;
 using namespace check;
 
+constexpr int kSlots = 220, kHeld = 800;  // room for all cells
 constexpr int kDeadlineMs = 9000;
 constexpr milliseconds kWait{1000};     // announced by a 429
 constexpr milliseconds kWaitSlack{20};  // from the writing of the response to its arrival
@@ -35,7 +37,6 @@
     repeated  ///< behind a response with the same bytes
 };
 enum class Restart { none, stop, stopAtOnce, kill };
-enum class Effect { pure, keyed, unsafe };
 
 struct Status {
     int code;
@@ -95,22 +96,6 @@
     return cells;
 }
 
-std::string settingsFor(Effect effect) {
-    constexpr int kSlots = 220, kHeld = 800;
-    auto text = settings(kSlots, kHeld);
-    const std::string usual = R"("effect":"token")";
-    const std::string wanted = effect == Effect::pure    ? R"("effect":"pure")"
-                               : effect == Effect::keyed ? usual
-                                                         : R"("effect":"side_effect")";
-    return text.replace(text.find(usual), usual.size(), wanted);
-}
-
-std::string requestFor(const std::string& id, std::uint64_t destination) {
-    auto text = handIn(id, kDeadlineMs);
-    const std::string usual = "dest=7";
-    return text.replace(text.find(usual), usual.size(), "dest=" + std::to_string(destination));
-}
-
 class ResponseTable : public testing::TestWithParam<std::tuple<Effect, Restart>> {
   protected:
     ResponseTable() {
@@ -122,8 +107,8 @@
         platform_.watch = list(9, true, entries) + "\n";
         program_ = std::make_unique<Program>(folder_.path, platform_, entries);
         program_->end(SIGKILL);
-        program_->configure(
-            configuration(local(program_->port()), platform_.stub.at(), entries, settingsFor(effect())));
+        program_->configure(configuration(local(program_->port()), platform_.stub.at(), entries,
+                                          settingsFor(effect(), kSlots, kHeld)));
         program_->start();
     }
     ~ResponseTable() override { EXPECT_EQ(program_->end(SIGTERM), 0); }
@@ -132,15 +117,8 @@
     static Restart restart() { return std::get<1>(GetParam()); }
 
     bool isEnded(const std::string& id) { return endpoint_.deliveries(id) > 0 || platform_.of(id) > 0; }
-    bool within(milliseconds span, const std::function<bool()>& done) {
-        for (const auto until = net::Steady::now() + span; !done();) {
-            if (net::Steady::now() > until) return false;
-            std::this_thread::sleep_for(milliseconds(5));
-        }
-        return true;
-    }
     void handInMessage(const std::string& id, const Cell& cell) {
-        ASSERT_EQ(program_->status(requestFor(id, cell.destination)), 202) << id;
+        ASSERT_EQ(program_->status(requestFor(id, cell.destination, kDeadlineMs)), 202) << id;
     }
 
     /// The sender learns that the deliveries of each endpoint differ, so that it uses connections again.
