Learn that an endpoint's 200s repeat before an unsafe message pays for it

What callers saw: an unsafe message that was delivered ended as failed, after the whole of its time.

Cause: an endpoint counted as one whose 200s differ as long as each differed from the one before it. 200s that differ in their Date alone do so, until two are sent within a second; and those that repeat one of another connection do so too. Then the response to an unsafe message repeats an earlier one of its connection, proves nothing, and the outcome is unknown.

Change: the content that is compared leaves the Date out, as it has a resolution of a second, and a delivery is compared with the last 32 of its endpoint, of all connections. What a response proves is not touched: that goes by its bytes. What is known of an endpoint isn't copied for each idle connection any more.

--- a/bench/connection_bench.cpp
+++ b/bench/connection_bench.cpp
@@ -1,12 +1,13 @@
 // What telling responses apart costs: connections, processor time and refused hand-ins for each message, by
-// how endpoints respond and how dense the traffic is. connection_bench [SENDER]: the sender's program, or the
-// one beside this one.
+// how endpoints respond and how dense the traffic is. connection_bench [SENDER [LOAD [STYLE]]]: the
+// sender's program, or the one beside this one; the name of one load, and of one style, as it is printed.
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <ctime>
 #include <filesystem>
 #include <memory>
 #include <mutex>
@@ -32,10 +33,11 @@
 constexpr milliseconds kDeadline{5000};
 constexpr std::chrono::seconds kDrain{6};  // in which what is held gets its end
 
-enum class Style { alike, marksClose, distinct, staysOpen, rejects };
-constexpr std::array<std::pair<Style, const char*>, 5> kStyles{
+enum class Style { alike, marksClose, dated, distinct, staysOpen, rejects };
+constexpr std::array<std::pair<Style, const char*>, 6> kStyles{
     {{Style::alike, "alike"},
      {Style::marksClose, "alike, says that it closes"},
+     {Style::dated, "alike but for their Date"},
      {Style::distinct, "distinct"},
      {Style::staysOpen, "alike, ignores an announced close"},
      {Style::rejects, "alike, a fifth 503"}}};
@@ -61,6 +63,16 @@
     std::size_t calls = 0;
 };
 
+/// The time as a Date header has it, to the second.
+std::string dateNow() {
+    const std::time_t now = std::time(nullptr);
+    std::tm parts{};
+    ::gmtime_r(&now, &parts);
+    std::array<char, 64> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%a, %d %b %Y %H:%M:%S GMT", &parts);
+    return {text.data(), length};
+}
+
 /// Answers one request in the style of the run. False closes the connection.
 bool answer(Seen& seen, Style style, milliseconds work, const http::Message& request,
             lab::Connection& connection) {
@@ -78,6 +90,7 @@
         seen.delivered.insert(*id);
     }
     http::Fields fields;
+    if (style == Style::dated) fields.emplace_back("Date", dateNow());
     if (style == Style::distinct) fields.emplace_back("X-Number", std::to_string(number));
     const bool saysClose = style == Style::marksClose && !request.keepsAlive();
     return connection.send(http::formatResponse(rejected ? 503 : 200, fields, "", !saysClose));
@@ -172,6 +185,12 @@
 int main(int argc, char** argv) {
     const auto beside = std::filesystem::path(argv[0]).parent_path() / "laurelhaven";
     const std::string program = argc > 1 ? argv[1] : beside.string();
+    const std::string onlyLoad = argc > 2 ? argv[2] : "";
+    const std::string onlyStyle = argc > 3 ? argv[3] : "";
     for (const auto& load : kLoads)
-        for (const auto& [style, name] : kStyles) run(program, style, name, load);
+        for (const auto& [style, name] : kStyles) {
+            if (!onlyLoad.empty() && onlyLoad != load.name) continue;
+            if (!onlyStyle.empty() && onlyStyle != name) continue;
+            run(program, style, name, load);
+        }
 }
--- a/src/http_client/response_history.cpp
+++ b/src/http_client/response_history.cpp
@@ -12,6 +12,12 @@
 constexpr std::size_t kMaxBeginningBytes = 1024;
 constexpr std::string_view kResponseBeginning = "HTTP/1.";
 
+/// Whether a header field with this name says more than when, and on what connection, the response was sent.
+/// A Date has a resolution of one second: two that differ say nothing about responses within a second.
+bool isContent(std::string_view name) {
+    return !http::equalsIgnoreCase(name, "Connection") && !http::equalsIgnoreCase(name, "Date");
+}
+
 std::size_t hashOf(std::string_view bytes) { return std::hash<std::string_view>{}(bytes); }
 
 /// True if a response, or what may become one, begins between these places.
@@ -33,8 +39,7 @@
 std::size_t contentHash(const http::Message& response) {
     std::string content = std::to_string(response.status) + '\n';
     for (const auto& field : response.headers.all) {
-        if (!http::equalsIgnoreCase(field.first, "Connection"))
-            content.append(field.first).append(":").append(field.second).append("\n");
+        if (isContent(field.first)) content.append(field.first).append(":").append(field.second).append("\n");
     }
     content += response.body;
     return std::hash<std::string>{}(content);
--- a/src/http_client/response_history.hpp
+++ b/src/http_client/response_history.hpp
@@ -27,8 +27,8 @@
 /// The name used in logs and metrics.
 std::string_view name(Resemblance resemblance);
 
-/// A hash of what a response says, whatever it says of its connection: of its status, body and headers but
-/// Connection.
+/// A hash of what a response says, whenever and on whatever connection: of its status, body and headers but
+/// Connection and Date.
 std::size_t contentHash(const http::Message& response);
 
 class ResponseHistory {
--- a/src/rules/response_rules.cpp
+++ b/src/rules/response_rules.cpp
@@ -13,6 +13,7 @@
 
 constexpr int kRequestTimeout = 408;              // sent by servers that close an idle connection
 constexpr std::chrono::seconds kForgetAfter{60};  // endpoints that are not used
+constexpr std::size_t kRecentDeliveries = 32;     // of an endpoint, with which the next one is compared
 // An endpoint rejects a request, or tells a wait, as soon as it has arrived. The repeated rejection mostly is
 // the request's own, and to await another one takes a slot.
 constexpr std::chrono::milliseconds kReadOnAfterRejection{150};
@@ -27,13 +28,13 @@
 
 bool ResponseRules::mayCarry(const SentRequest& request) const {
     const std::lock_guard lock(mutex_);
-    const auto endpoint = known(request.endpoint, request.address);
+    const Endpoint& endpoint = known(request);
     return differsWithoutClose(request, endpoint) || endpoint.tellsByClose();
 }
 
 bool ResponseRules::mustAnnounceClose(const SentRequest& request) const {
     const std::lock_guard lock(mutex_);
-    const auto endpoint = known(request.endpoint, request.address);
+    const Endpoint& endpoint = known(request);
     if (request.before.any()) return !differsWithoutClose(request, endpoint);
     // No other request can follow; and the response shows whether the endpoint says that it closes.
     return endpoint.deliveries == Pattern::repeating && !endpoint.tellsByClose();
@@ -70,11 +71,16 @@
                                  const ArrivedResponse& response) {
     if (response.completeness != Completeness::complete) return;
     if (request.closeAnnounced) endpoint.saysClose = response.saysClose;
-    if (response.status != kDelivered) return;
-    if (endpoint.lastDelivery)
-        setDeliveries(endpoint,
-                      *endpoint.lastDelivery == response.content ? Pattern::repeating : Pattern::distinct);
-    endpoint.lastDelivery = response.content;
+    if (response.status == kDelivered) learnFromDelivery(endpoint, response.content);
+}
+
+/// Compares a delivery with the last ones of all connections, as it may repeat on any of them next time.
+void ResponseRules::learnFromDelivery(Endpoint& endpoint, std::size_t content) {
+    auto& recent = endpoint.recentDeliveries;
+    const bool repeats = std::find(recent.begin(), recent.end(), content) != recent.end();
+    if (!recent.empty()) setDeliveries(endpoint, repeats ? Pattern::repeating : Pattern::distinct);
+    if (recent.size() == kRecentDeliveries) recent.erase(recent.begin());
+    recent.push_back(content);
 }
 
 /// However distinct deliveries have been, it is more likely that two were the same than that a duplicate was
@@ -108,7 +114,7 @@
 bool ResponseRules::mayReuse(const SentRequest& request) const {
     if (request.closeAnnounced) return false;
     const std::lock_guard lock(mutex_);
-    const auto endpoint = known(request.endpoint, request.address);
+    const Endpoint& endpoint = known(request);
     return endpoint.deliveries != Pattern::repeating || endpoint.saysClose.value_or(true);
 }
 
@@ -119,9 +125,10 @@
 }
 
 /// What is known of the endpoint at this address; nothing, if another address was in use.
-ResponseRules::Endpoint ResponseRules::known(const std::string& endpoint, const std::string& address) const {
-    const auto it = endpoints_.find(endpoint);
-    return it != endpoints_.end() && it->second.address == address ? it->second : Endpoint{};
+const ResponseRules::Endpoint& ResponseRules::known(const SentRequest& request) const {
+    static const Endpoint kNothing;
+    const auto it = endpoints_.find(request.endpoint);
+    return it != endpoints_.end() && it->second.address == request.address ? it->second : kNothing;
 }
 
 ResponseRules::Endpoint& ResponseRules::entry(const SentRequest& request, net::Deadline now) {
--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -33,6 +33,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "http_client/response_history.hpp"
 #include "http_client/response_reader.hpp"
@@ -62,7 +63,7 @@
     http_client::Completeness completeness = http_client::Completeness::none;
     http_client::Resemblance resemblance = http_client::Resemblance::none;
     int status = 0;
-    std::size_t content = 0;  ///< a hash of what it says, whatever it says of the connection
+    std::size_t content = 0;  ///< see http_client::contentHash()
     bool saysClose = false;   ///< it says that the connection closes
 };
 
@@ -106,7 +107,7 @@
     struct Endpoint {
         std::string address;
         Pattern deliveries = Pattern::unknown;
-        std::optional<std::size_t> lastDelivery;  ///< its content
+        std::vector<std::size_t> recentDeliveries;  ///< their contents, the oldest first
         /// Whether its response says so where its request announces the close; empty: not known yet.
         std::optional<bool> saysClose;
         bool tellsByClose() const { return saysClose.value_or(false); }
@@ -114,12 +115,13 @@
     };
 
     static ResponseVerdict verdictOn(const ArrivedResponse& response, bool followsRepeated);
-    Endpoint known(const std::string& endpoint, const std::string& address) const;
+    const Endpoint& known(const SentRequest& request) const;
     bool differsWithoutClose(const SentRequest& request, const Endpoint& endpoint) const;
     Pattern expectedDeliveries(const SentRequest& request, const Endpoint& endpoint) const;
     Endpoint& entry(const SentRequest& request, net::Deadline now);
     void learnFromOwn(Endpoint& endpoint, const SentRequest& request, const ArrivedResponse& response);
     void learnFromUnknown(Endpoint& endpoint, const SentRequest& request, int repeatedStatus);
+    void learnFromDelivery(Endpoint& endpoint, std::size_t content);
     void setDeliveries(Endpoint& endpoint, Pattern pattern);
 
     Violations& violations_;
--- a/tests/http_client/response_history_test.cpp
+++ b/tests/http_client/response_history_test.cpp
@@ -90,4 +90,23 @@
     EXPECT_EQ(history.compare(numbered(count)), Resemblance::none);
 }
 
+/// The content hash of a 200 with these headers and this body.
+std::size_t contentOf(const std::string& headers, const std::string& body = "ok") {
+    laurelhaven::http::Parser parser(laurelhaven::http::Parser::Role::response);
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers +
+                "\r\n" + body);
+    return laurelhaven::http_client::contentHash(parser.message());
+}
+
+// Responses that differ in their second alone were held for distinct, and those of one second are not.
+TEST(ContentHash, IsThatOfWhatAResponseSaysWheneverItIsSent) {
+    const auto plain = contentOf("");
+    EXPECT_EQ(contentOf("Date: Sat, 05 Dec 2026 10:00:00 GMT\r\n"), plain);
+    EXPECT_EQ(contentOf("date: Sat, 05 Dec 2026 10:00:01 GMT\r\n"), plain);
+    EXPECT_EQ(contentOf("Connection: close\r\n"), plain);
+    EXPECT_NE(contentOf("X-Date: Sat, 05 Dec 2026 10:00:00 GMT\r\n"), plain);
+    EXPECT_NE(contentOf("X-Number: 1\r\n"), plain);
+    EXPECT_NE(contentOf("", "no"), plain);
+}
+
 }  // namespace
--- a/tests/program/response_of_another_request_test.cpp
+++ b/tests/program/response_of_another_request_test.cpp
@@ -220,6 +220,21 @@
     EXPECT_EQ(endpointProxy_.connections() - before, 1u + static_cast<unsigned>(endpoint_.calls("next")));
 }
 
+// An unsafe message that was delivered ended as failed: the 200s differed in their Date alone, and the one
+// before it on its connection had been sent within the same second.
+TEST_F(ResponseOfAnotherRequest, DatesThatDifferTellNoDeliveriesApart) {
+    start("side_effect");
+    const auto sentAt = [](const std::string& second) -> Reply {
+        return {200, milliseconds(10), {{"Date", "Sat, 05 Dec 2026 10:00:" + second + " GMT"}}, "same"};
+    };
+    endpoint_.reply("a", {sentAt("01")});
+    endpoint_.reply("b", {sentAt("02")});
+    endpoint_.reply("c", {sentAt("02")});
+    for (const char* id : {"a", "b", "c"}) deliver(id);
+    std::this_thread::sleep_for(milliseconds(kDeadlineMs) + kRest);
+    for (const char* id : {"a", "b", "c"}) EXPECT_EQ(platform_.of(id), 0u) << id << " was delivered";
+}
+
 // A request was given up at a copy of a rejection, and its own 410 was not read: it was sent on.
 TEST_F(ResponseOfAnotherRequest, A410BehindACopyOfARejectionIsRead) {
     start("token");
--- a/tests/rules/response_rules_test.cpp
+++ b/tests/rules/response_rules_test.cpp
@@ -218,6 +218,16 @@
     EXPECT_FALSE(mayCarry(kDelivery));
 }
 
+// A message that was delivered ended as failed: its endpoint's deliveries were held for distinct, as those
+// that repeated came on different connections.
+TEST_F(ResponseRulesTest, ADeliveryThatRepeatsOneOfAnotherConnectionShowsThatTheyMayRepeat) {
+    for (std::size_t content = 1; content <= 20; ++content) deliver(content);
+    EXPECT_TRUE(mayCarry(kDelivery, kUnsafe));
+    deliver(7);
+    EXPECT_FALSE(mayCarry(kDelivery, kUnsafe));
+    EXPECT_FALSE(mayCarry(kDelivery));
+}
+
 TEST_F(ResponseRulesTest, EndpointsThatAreNotUsedAreForgotten) {
     makeRepeating();
     EXPECT_TRUE(announces(kNothing));
