Split rate control and outage detection from sender.cpp

The backoff's random fraction, which stood three times, is one function. clang-format checks all of src.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; the same commands that the README gives and .ci/run calls.
 JOBS ?= $(shell nproc)
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
-SOURCES = $(wildcard src/retry_bucket.hpp src/sender_constants.hpp src/*/*.cpp src/*/*.hpp src/main.cpp lab/*.cpp lab/*/*.cpp lab/*/*.hpp \
+SOURCES = $(wildcard src/*.cpp src/*.hpp src/*/*.cpp src/*/*.hpp lab/*.cpp lab/*/*.cpp lab/*/*.hpp \
     tests/*/*_test.cpp tests/laurelhaven/*.hpp tests/faults/*.hpp tests/program/*.hpp)
 # cppcheck 2.10 reads no literals such as 1ms, which the GoogleTest suites use.
 CHECKED = $(wildcard src/*/*.cpp src/main.cpp lab/*.cpp lab/*/*.cpp tests/laurelhaven/*.cpp)
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -7,142 +7,22 @@
 #include <cmath>
 #include <deque>
 #include <map>
-#include <random>
 #include <unordered_map>
 #include <utility>
 
-#include "retry_bucket.hpp"
+#include "sender/outage_detector.hpp"
+#include "sender/random.hpp"
+#include "sender/rate_control.hpp"
+#include "sender/state.hpp"
 #include "sender_constants.hpp"
 #include "settings.hpp"
 #include "stoathub/stoathub.hpp"
 
 namespace stoathub {
-namespace {
-
-Seconds toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-Duration toDuration(Seconds seconds) { return Duration(static_cast<std::int64_t>(seconds * 1e9)); }
-
-/// State of a route: of a destination, or of a single endpoint where endpoints have separate routes. Rate
-/// limits, announced waits and outages belong to a route.
-struct RouteState {
-    double window = 0;        // concurrency limit
-    int attemptsOut = 0;      // in flight
-    Seconds waitUntil = 0;    // end of the announced wait
-    double latency = 0;       // smoothed; 0: unknown
-    double bestLatency = 0;   // best recent value of the smoothed latency
-    double successShare = 1;  // smoothed share of successes
-    Seconds windowHalvedAt = -1;
-    int failureStreak = 0;    // failures and rejections since the last success
-    int rejectionStreak = 0;  // rejections among them
-    Seconds streakStartedAt = 0;
-    bool down = false;              // in an outage
-    Seconds recoveredAt = -kNever;  // end of the last outage
-    bool wasUnresponsive = false;   // in the last outage it failed or did not answer, rather than reject
-    double rateLimit = 0;           // attempts per second, for all senders together; 0: unknown
-    double reportedRateLimit = -1;  // as last reported in an answer, 0 for no limit; -1: never reported
-    double bestDeliveryRate = 0;    // of this sender, per second
-    double deliveriesInBin = 0;     // deliveries in the current interval of a second
-    Seconds binStartedAt = 0;
-    int unansweredAttempts = 0;            // overdue attempts, with no answer to any later attempt
-    Seconds lastAnsweredSendAt = -kNever;  // when the latest answered attempt was sent
-    double rateCap = kNever;  // attempts per second, learnt from rejections and the rate limit; kNever: none
-    double sendRate = 0;      // smoothed, attempts per second, at sendRateAt
-    Seconds sendRateAt = 0, rateCutAt = -kNever;
-    Seconds lastObservedAt = 0;  // last outcome or health report
-    double fairShares = 1;       // multiple of the fair share that this sender may use, at fairSharesAt
-    Seconds fairSharesAt = 0;
-    double paceTokens = 1;  // attempts that the rate allows, at paceTokensAt
-    Seconds paceTokensAt = 0;
-    bool unconfirmed = false;          // see DestinationHealth::unconfirmed
-    Seconds firstDeliveryAt = kNever;  // since it became unconfirmed
-    double unconfirmedTokens = 1;      // attempts allowed while unconfirmed, at unconfirmedTokensAt
-    Seconds unconfirmedTokensAt = 0;
-
-    void recordDelivery(Seconds now) {
-        if (now >= binStartedAt + 1) {
-            bestDeliveryRate = std::max(
-                deliveriesInBin / (now - binStartedAt),
-                bestDeliveryRate * (1 - kBestRateDecayPerSecond * std::min(now - binStartedAt, 10.0)));
-            deliveriesInBin = 0;
-            binStartedAt = now;
-        }
-        ++deliveriesInBin;
-    }
-    bool isDegraded() const {
-        return successShare < kDegradedSuccessShare || latency > kShrinkLatencyRatio * bestLatency;
-    }
-};
-
-struct EndpointEntry {
-    EndpointId id;
-    DestinationId destinationId = 0;
-    int kind = 0;
-    int zone = 0;
-    double tieBreaker = 0;  // lowest first among equally busy endpoints: random, plus 1 per full queue
-    bool separateRoute = false;
-    bool usable = false;
-    std::uint64_t listGeneration = 0;  // of the last full list that named it
-    int attemptsOut = 0;
-    int failureStreak = 0;            // failures since its last success
-    bool unresponsive = false;        // has an overdue attempt, and no answer to any later one
-    Seconds idleConnectionUntil = 0;  // while no attempt is in flight, an idle connection exists until then
-    Seconds lastAnsweredSendAt = -kNever;  // when the latest answered attempt was sent
-    Seconds avoidUntil = 0;  // set after failures; ignored if all endpoints of the destination fail
-    RouteState route;        // used with separate routes
-};
-
-struct DestinationEntry {
-    RouteState route;  // shared by its endpoints unless they have separate routes
-    RetryBucket bucket;
-    int attemptsOut = 0;
-    int heldMessages = 0;
-    std::vector<EndpointEntry*> endpoints;
-};
-
-struct ActiveAttempt {
-    bool reusedConnection = false;
-    EndpointEntry* endpoint = nullptr;
-    Seconds sentAt = 0;
-};
-
-struct Message {
-    MessageId id;
-    DestinationEntry* destination = nullptr;
-    int classIndex = 0;
-    Effect effect = Effect::pure;  // of its class, or stricter
-    std::optional<OrderKey> orderKey;
-    Seconds acceptedAt = 0, deliveryTargetAt = 0, deadline = 0;
-    Seconds notBefore = 0;     // end of the backoff
-    Seconds sentAt = 0;        // last attempt
-    double pendingTokens = 0;  // to be paid before the next attempt
-    double paidTokens = 0;     // paid for an attempt that has not been sent yet
-    int attempts = 0;          // sent so far
-    int consecutiveUnsent = 0;
-    bool mayHaveRun = false;
-    Seconds keyWindowStart = 0;        // when the first attempt that may have run was sent
-    int keyZone = 0;                   // zone of that attempt; -1: unknown
-    bool untriedSinceRestart = false;  // accepted by a previous run, and not attempted since
-    bool ended = false;                // has its final answer; kept while an attempt is in flight
-    bool cancelRequested = false;
-    std::uint64_t attemptId = 0;  // of the attempt in flight; 0: none
-    bool hasActiveAttempt() const { return attemptId != 0; }
-};
-
-}  // namespace
-
 class Sender::Impl {
   public:
-    Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), rng_(seed) {
+    Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
         validate(settings);
-        double meanTimeToLive = 0;
-        for (const auto& messageClass : settings_.messageClasses)
-            meanTimeToLive +=
-                toSeconds(messageClass.timeToLive) / static_cast<double>(settings_.messageClasses.size());
-        rareMessageRate_ = kRareMessagesPerLifetime / meanTimeToLive;
-        if (settings_.overloadMultiple > 0)
-            recoveryDeliveryTokens_ =
-                std::clamp(settings_.overloadMultiple - kRecoveryRateFactor - kOverloadMargin, 0.0,
-                           kMaxRecoveryDeliveryTokens);
     }
 
     std::vector<Action> turn(Time now, const std::vector<Event>& events) {
@@ -224,15 +104,14 @@
         message.keyWindowStart = now_ - toSeconds(prior.sinceMayHaveRun);
         message.keyZone = -1;
         if (prior.attempts + prior.failures > 0) {
-            message.notBefore =
-                now_ + kBackoffBaseSeconds * (kBackoffMinFraction + (1 - kBackoffMinFraction) * random());
+            message.notBefore = now_ + kBackoffBaseSeconds * backoffFraction();
             message.pendingTokens = prior.attempts > 0 ? kRetryCostTokens : 0;
         }
         RouteState& route = message.destination->route;
         if (route.failureStreak == 0) route.streakStartedAt = now_;
         route.failureStreak += prior.failures;
         if (route.failureStreak - route.rejectionStreak >= kOutageFailures) route.down = true;
-        if (route.rateCap == kNever && route.rateLimit > 0 && !isSparse(route))
+        if (route.rateCap == kNever && route.rateLimit > 0 && !rateControl_.isSparse(route))
             route.rateCap = route.rateLimit / settings_.senders;
     }
 
@@ -259,7 +138,7 @@
             // Random, so that senders that restart together do not make their first attempts together.
             route.firstDeliveryAt = kNever;
             route.unconfirmedTokensAt = now_;
-            route.unconfirmedTokens = health.probed ? 1 : settings_.senders > 1 ? random() : 1;
+            route.unconfirmedTokens = health.probed ? 1 : settings_.senders > 1 ? random_.uniform() : 1;
         }
         if (health.probed) route.unconfirmedTokens -= 1;
         // Once attempts have been limited, the limit stays until the destination has had time to warm up, as
@@ -272,7 +151,7 @@
         if (update.kind == ListUpdateKind::failed) {
             subscribePause_ =
                 std::min(std::max(kResubscribeSeconds, 2 * subscribePause_), kMaxResubscribeSeconds);
-            subscribeAt_ = now_ + subscribePause_ * (0.5 + random());
+            subscribeAt_ = now_ + subscribePause_ * (0.5 + random_.uniform());
             return;
         }
         if (update.kind != ListUpdateKind::saved) subscribePause_ = 0;
@@ -327,7 +206,7 @@
             endpoint.id = entry.id;
             endpoint.destinationId = entry.destination;
             endpoint.zone = entry.zone;
-            endpoint.tieBreaker = random();
+            endpoint.tieBreaker = random_.uniform();
             endpoint.kind = entry.kind;
             if (entry.kind >= 0 && entry.kind < static_cast<int>(settings_.kinds.size()))
                 endpoint.separateRoute = settings_.kinds[entry.kind].separateRoutes;
@@ -391,8 +270,7 @@
         if (--message.attempts == 0) message.destination->bucket.revertFirstAttempt();
         if (message.ended) return removeIfFinished(sequence);
         const double doubled = std::pow(2.0, std::min(message.consecutiveUnsent++, kMaxUnsentDoublings));
-        message.notBefore = now_ + kUnsentPauseSeconds * doubled *
-                                       (kBackoffMinFraction + (1 - kBackoffMinFraction) * random());
+        message.notBefore = now_ + kUnsentPauseSeconds * doubled * backoffFraction();
     }
 
     void finishAttempt(Message& message) {
@@ -448,9 +326,8 @@
         if (outcome.result == Result::rejected && reportsLimit(outcome) &&
             *outcome.allowanceLeft > kAmpleAllowance)
             endpoint.tieBreaker += 1;
-        updateHealth(route, endpoint, outcome);
-        if (usesFairShares(route)) updateFairShare(route, outcome);
-        else adaptRate(route, outcome.result);
+        outageDetector_.observe(route, destinationEntry(endpoint.destinationId), endpoint, outcome, now_);
+        rateControl_.observe(route, outcome, now_);
         backOffEndpoint(endpoint, outcome.result);
         if (outcome.result == Result::rejected) return;
         route.successShare += kSmoothingWeight * ((succeeded ? 1 : 0) - route.successShare);
@@ -478,107 +355,10 @@
         }
     }
 
-    // Detects outages and their end. A destination in an outage comes back with reduced capacity, and senders
-    // that kept sending at the full rate would overload it again. From the first evidence of an outage until
-    // the end of the warm-up, sends are limited by pacedRate(). This also protects slots and retry buckets
-    // against any destination that answers without success. The cost: after a short run of random failures a
-    // destination gets one warm-up at a reduced rate.
-    void updateHealth(RouteState& route, const EndpointEntry& endpoint, const Outcome& outcome) {
-        const Result result = outcome.result;
-        if (result == Result::delivered) {
-            if (route.down) {
-                route.down = false;
-                route.recoveredAt = now_;
-                route.successShare = std::max(route.successShare, kRecoveredSuccessShare);
-            }
-            route.failureStreak = route.rejectionStreak = 0;
-            destinationEntry(endpoint.destinationId).route.failureStreak =
-                destinationEntry(endpoint.destinationId).route.rejectionStreak = 0;
-            return;
-        }
-        // Consecutive rejections occur both in an outage and at a rate limit. Where the rejection itself
-        // tells them apart, by the announced wait or the unused share of the limit, that decides.
-        const bool limitReported = reportsLimit(outcome);
-        const bool showsOutage =
-            result == Result::rejected &&
-            (outcome.retryAfter > Duration{} ? toSeconds(outcome.retryAfter) > kOutageRejectionSeconds
-                                             : limitReported && *outcome.allowanceLeft > kAmpleAllowance);
-        if (result == Result::rejected && !showsOutage && limitReported) return;
-        // An outage usually affects all routes of a destination, so a rejection on one counts for the others.
-        RouteState& destinationRoute = destinationEntry(endpoint.destinationId).route;
-        if (endpoint.separateRoute && destinationRoute.failureStreak++ == 0)
-            destinationRoute.streakStartedAt = now_;
-        if (endpoint.separateRoute && result == Result::rejected) ++destinationRoute.rejectionStreak;
-        if (route.failureStreak++ == 0) route.streakStartedAt = now_;
-        if (result == Result::rejected && !showsOutage) ++route.rejectionStreak;
-        // In a large fleet many senders hold one message each for a destination in an outage, and backoff
-        // alone lets through far more than it can take when it comes back. Where traffic is sparse, two
-        // rejections that report nothing, some time apart, are enough evidence.
-        const bool rejectionsShowOutage =
-            isSparse(route) ? destinationRoute.rejectionStreak >= kSparseOutageRejections &&
-                                  now_ - destinationRoute.streakStartedAt > kSparseOutageSeconds
-                            : route.rejectionStreak >= kOutageRejections &&
-                                  now_ - route.streakStartedAt > kOutageRejectionSeconds;
-        // Sparse traffic never completes a streak of failures, so one failure at each endpoint is enough. The
-        // tokens saved up are then drawn at random, so that many senders do not return at the same time.
-        const auto& siblings = destinationEntry(endpoint.destinationId).endpoints;
-        const bool noAnswer = result == Result::timeout || result == Result::cancelled;
-        const bool allEndpointsFailed =
-            isSparse(route) && (showsOutage || result != Result::rejected) &&
-            (!noAnswer || route.failureStreak >= kSparseOutageTimeouts) &&
-            (endpoint.separateRoute || showsOutage ||
-             std::all_of(siblings.begin(), siblings.end(), [](const EndpointEntry* candidate) {
-                 return !candidate->usable || candidate->failureStreak > 0;
-             }));
-        const bool wasDown = route.down;
-        if (route.failureStreak - route.rejectionStreak >= kOutageFailures || rejectionsShowOutage ||
-            route.successShare < kOutageSuccessShare || allEndpointsFailed)
-            route.down = true;
-        if (route.down && !wasDown)
-            route.wasUnresponsive =
-                result != Result::rejected ||
-                (route.wasUnresponsive && now_ < route.recoveredAt + toSeconds(settings_.warmUp));
-        if (route.down && !wasDown && isSparse(route)) {
-            route.paceTokens = random();
-            route.paceTokensAt = now_;
-        }
-    }
-
-    // Adapts the rate to rejections and successes. Attempts above a rate limit lead to the most expensive
-    // retries, empty the retry bucket and, at some destinations, use up the limit themselves. So first
-    // attempts are limited as well: to this sender's share of a known limit, or to the rate at which
-    // rejections began; less after rejections, more with successes. The cost: where other senders are idle,
-    // part of the limit stays unused until the rate has grown.
-    void adaptRate(RouteState& route, Result result) {
-        if (route.down) return;
-        if (route.rateCap == kNever && route.rateLimit > 0)
-            route.rateCap = route.rateLimit / settings_.senders;
-        if (result == Result::rejected) {
-            route.paceTokens = std::min(route.paceTokens, 0.0);  // saved-up attempts would be rejected too
-            if (now_ < route.rateCutAt + kRateCutPauseSeconds) return;
-            if (isSparse(route) && now_ > route.rateCutAt + kRecentRejectionSeconds) route.rateCap = kNever;
-            route.rateCutAt = now_;
-            const double decayed =
-                route.sendRate * std::exp(-(now_ - route.sendRateAt) / kSendRateSmoothingSeconds);
-            route.rateCap =
-                std::max(kMinRatePerSecond,
-                         kRateCutFactor * std::min(route.rateCap, std::max(decayed, fairRate(route))));
-        } else if (result == Result::delivered && route.rateCap != kNever) {
-            // A rate limit that was low for a while leaves the rate far too low once it is restored. Below
-            // the fair share the rate catches up, the faster the longer there has been no rejection.
-            const double rejectionFree =
-                std::min((now_ - route.rateCutAt) / kRecentRejectionSeconds, kMaxCatchUpFactor);
-            route.rateCap +=
-                kRateGrowthPerSuccess * route.rateCap +
-                kRateCatchUpPerSuccess * rejectionFree * std::max(0.0, fairRate(route) - route.rateCap);
-            if (route.rateLimit > 0) route.rateCap = std::min(route.rateCap, route.rateLimit);
-        }
-    }
-
     // Avoids an endpoint that fails while others of the destination work: discovery may still list a dead
     // endpoint or a stale address, and every attempt there is wasted. It is avoided for a growing time and
     // then tested with a single attempt that may be repeated. If all endpoints fail, none is avoided, and
-    // updateHealth() decides.
+    // the outage detector decides.
     void backOffEndpoint(EndpointEntry& endpoint, Result result) {
         if (result == Result::delivered) {
             endpoint.failureStreak = 0;
@@ -591,128 +371,6 @@
                                 kEndpointBackoffSeconds * std::pow(2.0, endpoint.failureStreak - 1));
     }
 
-    // Adapts this sender's share of a rate limit in a large fleet. Hundreds of senders with a few attempts
-    // each can together exceed a limit, and if rejected attempts use it up, nothing gets through, although
-    // each sender sees only a few rejections. So the equal shares add up to less than the limit, and senders
-    // with more messages get the rest: an answer that reports an unused part of the limit allows further
-    // attempts. The cost: a sender with a burst of messages is held back for a few seconds.
-    void updateFairShare(RouteState& route, const Outcome& outcome) {
-        if (route.down) return;
-        if (outcome.result == Result::rejected) {
-            // Senders that are rejected at the same time would otherwise send their next attempts at the same
-            // time, and be rejected together again. A random offset within the interval between two attempts
-            // spreads them.
-            route.paceTokens = random() - 0.5;
-            if (now_ < route.rateCutAt + kRateCutPauseSeconds) return;
-            route.fairShares = std::max(kMinFairShares, kFairShareCutFactor * fairShares(route));
-            route.rateCutAt = route.fairSharesAt = now_;
-        } else if (outcome.result == Result::delivered &&
-                   now_ > route.recoveredAt + toSeconds(settings_.warmUp)) {
-            const double left = reportsLimit(outcome) ? *outcome.allowanceLeft : kDefaultAllowanceLeft;
-            route.paceTokens = std::min(1.0, route.paceTokens + kDeliveryTokens * left);
-            route.fairShares = std::min(kMaxFairShares, fairShares(route) + kFairShareGrowth * left);
-            route.fairSharesAt = now_;
-        } else if (outcome.result == Result::delivered) {
-            // During a warm-up, the equal shares of senders without messages are unused, so a delivery allows
-            // part of a further attempt. Deliveries come no faster than the destination can make them, so
-            // together with kRecoveryRateFactor the total stays below the overload multiple even if every
-            // sender has a backlog. After an outage with rejections only, the destination may be short of
-            // capacity rather than cold, and more attempts would be rejected too: there the part is smaller.
-            route.paceTokens =
-                std::min(1.0, route.paceTokens +
-                                  (route.wasUnresponsive ? recoveryDeliveryTokens_ : kWarmUpDeliveryTokens));
-        } else if (outcome.result == Result::connectFailed) {
-            route.paceTokens = std::min(1.0, route.paceTokens + 1);  // a failed connect puts no load on it
-        }
-    }
-    // The current multiple of the fair share; it decays to 1.
-    double fairShares(const RouteState& route) const {
-        return 1 + (route.fairShares - 1) * std::exp(-(now_ - route.fairSharesAt) / kFairShareDecaySeconds);
-    }
-
-    // This sender's equal share of the rate limit or, if that is unknown, its own best delivery rate.
-    double fairRate(const RouteState& route) const {
-        return std::max(route.rateLimit > 0 ? route.rateLimit / settings_.senders : route.bestDeliveryRate,
-                        kMinFairRatePerSecond / settings_.senders);
-    }
-
-    // Current limit in attempts per second; kNever if only the window limits the sending.
-    double pacedRate(const RouteState& route, int routes) const {
-        const double coldRateShare =
-            settings_.overloadMultiple > 0
-                ? std::min(1.0, settings_.overloadMultiple * settings_.coldCapacityShare)
-                : 1.0;
-        // A single message gets more than the equal share of a sparse rate, as few other senders hold a
-        // message at the same time. Separate routes divide this among them, so that one message is not sent
-        // to each of them.
-        const double share =
-            isSparse(route) ? std::max(fairRate(route), rareMessageRate_ / routes) : fairRate(route);
-        if (route.down || route.unansweredAttempts >= kSilentAttempts)
-            return kOutageRateFactor * coldRateShare * share;
-        const double warmUp = toSeconds(settings_.warmUp);
-        if (now_ < route.recoveredAt + warmUp)
-            return kRecoveryRateFactor * share *
-                   (settings_.coldCapacityShare +
-                    (1 - settings_.coldCapacityShare) * (now_ - route.recoveredAt) / warmUp);
-        if (usesFairShares(route)) return kFairShareLimitFraction * fairRate(route) * fairShares(route);
-        // In a large fleet the fair share of one sender is so small that messages, which arrive at random,
-        // would nearly all be delayed by it. So only recent rejections slow the sending down. The cost:
-        // simultaneous bursts at all senders can exceed the rate limit.
-        if (isSparse(route) && now_ > route.rateCutAt + kRecentRejectionSeconds) return kNever;
-        return route.rateCap;
-    }
-    // True if traffic is sparse: in a large fleet, where the fair rate of one sender is too small to space
-    // its attempts by, and too few outcomes are seen for streaks and averages.
-    bool isSparse(const RouteState& route) const {
-        return settings_.senders > kSmallFleetSenders && fairRate(route) < kSparseRatePerSecond;
-    }
-    // True if updateFairShare() controls the rate rather than adaptRate(): for sparse traffic, and in a large
-    // fleet during a warm-up.
-    bool usesFairShares(const RouteState& route) const {
-        const bool warming =
-            settings_.senders > kSmallFleetSenders && now_ < route.recoveredAt + toSeconds(settings_.warmUp);
-        return (isSparse(route) || warming) && route.rateLimit > 0;
-    }
-    // True if the answer reports a rate limit and how much of it is unused.
-    static bool reportsLimit(const Outcome& outcome) {
-        return outcome.allowedRate && *outcome.allowedRate > 0 && outcome.allowanceLeft;
-    }
-
-    // Refills the tokens over time, and returns them; an attempt needs a whole one.
-    double refillPaceTokens(RouteState& route, int routes) {
-        if (pacedRate(route, routes) == kNever) {
-            route.paceTokensAt = now_;
-            return route.paceTokens = 1;
-        }
-        // An announced wait ends for all senders at once, so nothing is saved up during it.
-        route.paceTokensAt = std::max(route.paceTokensAt, std::min(route.waitUntil, now_));
-        route.paceTokens = std::min(
-            std::max(1.0, kBurstSeconds * std::min(pacedRate(route, routes), kMaxBurstRatePerSecond)),
-            route.paceTokens + pacedRate(route, routes) * (now_ - route.paceTokensAt));
-        route.paceTokensAt = now_;
-        return route.paceTokens;
-    }
-
-    // Whether an unconfirmed destination may get another attempt. Time saves up one attempt at most; only
-    // deliveries save up more.
-    bool mayTryUnconfirmed(RouteState& route) {
-        if (!route.unconfirmed) return true;
-        if (route.firstDeliveryAt == kNever && route.attemptsOut > 0) return false;
-        const double coldRateShare =
-            settings_.overloadMultiple > 0
-                ? std::min(1.0, settings_.overloadMultiple * settings_.coldCapacityShare)
-                : 1.0;
-        const double base = (route.firstDeliveryAt == kNever ? kOutageRateFactor : kUnconfirmedRateFactor) *
-                            coldRateShare * fairRate(route);
-        if (route.unconfirmedTokens < 1)
-            route.unconfirmedTokens =
-                std::min(1.0, route.unconfirmedTokens + base * (now_ - route.unconfirmedTokensAt));
-        route.unconfirmedTokensAt = now_;
-        return route.unconfirmedTokens >= 1 ||
-               checkAt(now_ + std::min((1 - route.unconfirmedTokens) / base, kMaxPaceCheckSeconds) +
-                       kRoundingMarginSeconds);
-    }
-
     // Decides whether the message may be retried, after which backoff and at which cost.
     void scheduleRetry(std::uint64_t sequence, Message& message, const Outcome& outcome) {
         const Result result = outcome.result;
@@ -732,7 +390,7 @@
             return giveFinalAnswer(sequence, EndReason::holdsUpOrder);
         const Seconds range =
             kBackoffBaseSeconds * std::pow(2.0, message.attempts) * (pastTarget ? kLateBackoffFactor : 1);
-        message.notBefore = now_ + range * (kBackoffMinFraction + (1 - kBackoffMinFraction) * random());
+        message.notBefore = now_ + range * backoffFraction();
         message.pendingTokens = result == Result::notForwarded ? 0
                                 : result == Result::rejected   ? kRejectedRetryCostTokens
                                                                : kRetryCostTokens;
@@ -829,8 +487,9 @@
     // Detects destinations and endpoints that accept attempts and never answer. They hold their slots until
     // the timeout, without any outcome that shows the outage. While attempts are overdue and no later one has
     // been answered, sends are limited to the rate of an outage; an answer lifts this at once, and a timeout
-    // goes to updateHealth(). This also covers machines that have vanished. The cost: a very slow destination
-    // gets fewer attempts until it answers. A single unresponsive endpoint is avoided by chooseEndpoint().
+    // goes to the outage detector. This also covers machines that have vanished. The cost: a very slow
+    // destination gets fewer attempts until it answers. A single unresponsive endpoint is avoided by
+    // chooseEndpoint().
     void detectSilence() {
         clearUnanswered();
         for (auto& [id, attempt] : activeAttempts_) attempt.endpoint->unresponsive = false;
@@ -939,15 +598,13 @@
                 return false;
         }
         if (message.attempts >= settings_.maxAttempts || now_ >= message.deadline) return false;
-        if (!mayTryUnconfirmed(route)) return false;
+        if (const Seconds at = rateControl_.unconfirmedAttemptAt(route, now_); at > now_) return checkAt(at);
         const double windowLimit =
             route.isDegraded() ? std::min(route.window, maxWindow() / 2.0) : route.window;
         const int routes =
             endpoint.separateRoute ? static_cast<int>(message.destination->endpoints.size()) : 1;
-        if (refillPaceTokens(route, routes) < 1)
-            return checkAt(now_ +
-                           std::min((1 - route.paceTokens) / pacedRate(route, routes), kMaxPaceCheckSeconds) +
-                           kRoundingMarginSeconds);
+        if (const Seconds at = rateControl_.pacedAttemptAt(route, routes, now_); at > now_)
+            return checkAt(at);
         if (route.attemptsOut >= std::max(1, static_cast<int>(windowLimit)) ||
             message.destination->attemptsOut >= maxWindow())
             return false;
@@ -1054,7 +711,7 @@
                 continue;
             }
             const Seconds until = std::max(keepNoIdleUntil_, connectionsScarceUntil_[endpoint.kind]);
-            const bool close = isSparse(routeOf(endpoint)) && now_ < until;
+            const bool close = rateControl_.isSparse(routeOf(endpoint)) && now_ < until;
             endpoint.idleConnectionUntil = close ? 0 : now_ + toSeconds(settings_.keepAlive);
             if (close) actions_.push_back(CloseIdleConnections{id});
         }
@@ -1079,7 +736,8 @@
 
     // ---- helpers ----
     int maxWindow() const { return std::max(1, static_cast<int>(kMaxWindowSlotShare * settings_.slots)); }
-    double random() { return std::uniform_real_distribution<double>(0, 1)(rng_); }
+    /// Of the longest backoff: at random, so that retries do not come together.
+    double backoffFraction() { return kBackoffMinFraction + (1 - kBackoffMinFraction) * random_.uniform(); }
     DestinationEntry& destinationEntry(DestinationId id) {
         auto [it, fresh] = destinations_.try_emplace(id);
         if (fresh) it->second.route.window = maxWindow();
@@ -1102,9 +760,9 @@
     };
 
     Settings settings_;
-    std::mt19937_64 rng_;
-    double rareMessageRate_ = 0;  // least rate, per second, while a message waits for sparse traffic
-    double recoveryDeliveryTokens_ = kMaxRecoveryDeliveryTokens;
+    RandomSource random_;
+    RateControl rateControl_{settings_, random_};
+    OutageDetector outageDetector_{settings_, rateControl_, random_};
     bool started_ = false;
     Time startTime_{};
     Seconds now_ = 0;
