Compare a response without the blank lines in front of it

What callers saw: a message that reached nobody was held for delivered, or ended by a 410 that was another's.

Cause: the parser passes over blank lines in front of a response, as RFC 9112 (2.2) has servers do with requests. The comparison with what the connection carried before did not: a copy behind a blank line differed from its original, and so proved itself. An endpoint or a device that writes a line end too many behind a body brings this about.

Change: leading blank lines are left out, of what is kept and of what is compared.

Evidence: ResponseHistory.BlankLinesInFrontOfADuplicateMakeNoOtherResponse, red before.

--- a/src/http_client/response_history.cpp
+++ b/src/http_client/response_history.cpp
@@ -20,6 +20,10 @@
 
 std::size_t hashOf(std::string_view bytes) { return std::hash<std::string_view>{}(bytes); }
 
+std::string_view withoutLeadingBlankLines(std::string_view bytes) {
+    return bytes.substr(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+}
+
 /// True if a response, or what may become one, begins between these places.
 bool responseBegins(std::string_view bytes, std::size_t earliest, std::size_t latest) {
     for (std::size_t at = std::max<std::size_t>(earliest, 1); at <= latest && at < bytes.size(); ++at) {
@@ -47,7 +51,8 @@
 
 bool ResponseHistory::isFull() const { return olderResponses_.size() >= kMaxOlderResponses; }
 
-void ResponseHistory::add(std::string_view bytes) {
+void ResponseHistory::add(std::string_view received) {
+    const auto bytes = withoutLeadingBlankLines(received);
     if (compare(bytes) == Resemblance::duplicate) return;
     responses_.push_back({std::string(bytes.substr(0, kMaxBeginningBytes)), bytes.size(), hashOf(bytes)});
     if (responses_.size() <= kMaxResponses) return;
@@ -55,7 +60,8 @@
     responses_.pop_front();
 }
 
-Resemblance ResponseHistory::compare(std::string_view bytes) const {
+Resemblance ResponseHistory::compare(std::string_view received) const {
+    const auto bytes = withoutLeadingBlankLines(received);
     if (bytes.empty()) return Resemblance::none;
     auto strongest = Resemblance::none;
     for (const auto& earlier : responses_) {
--- a/src/http_client/response_history.hpp
+++ b/src/http_client/response_history.hpp
@@ -2,7 +2,8 @@
 //
 // HTTP/1.1 responses carry no reference to their request: a client matches them by their order alone. A
 // duplicate of an earlier response shifts that order. Such a duplicate has the same bytes as the original,
-// which is the only way to recognise it.
+// which is the only way to recognise it. Blank lines in front of a response, which the parser tolerates, are
+// left out of the comparison.
 //
 // No I/O. Not thread-safe.
 #pragma once
--- a/tests/http_client/response_history_test.cpp
+++ b/tests/http_client/response_history_test.cpp
@@ -90,6 +90,22 @@
     EXPECT_EQ(history.compare(numbered(count)), Resemblance::none);
 }
 
+// A copy behind a blank line was held for a response that differs, and its message for delivered.
+TEST(ResponseHistory, BlankLinesInFrontOfADuplicateMakeNoOtherResponse) {
+    ResponseHistory history;
+    history.add(kOk);
+    for (const std::string blank : {"\r\n", "\n", "\r\n\r\n"}) {
+        EXPECT_EQ(history.compare(blank + kOk), Resemblance::duplicate);
+        EXPECT_EQ(history.compare(blank + kOk.substr(0, 20)), Resemblance::truncated);
+        EXPECT_EQ(history.compare(blank + kOk.substr(0, 20) + kFull), Resemblance::spliced);
+        EXPECT_EQ(history.compare(blank + kFull), Resemblance::none);
+    }
+    EXPECT_EQ(history.compare("\r\n"), Resemblance::none);
+    ResponseHistory other;
+    other.add("\r\n" + kOk);
+    EXPECT_EQ(other.compare(kOk), Resemblance::duplicate);
+}
+
 /// The content hash of a 200 with these headers and this body.
 std::size_t contentOf(const std::string& headers, const std::string& body = "ok") {
     laurelhaven::http::Parser parser(laurelhaven::http::Parser::Role::response);
