Believe no status of a response that may begin with a part of an earlier one

What callers saw: a message that reached nobody was held for delivered.

Cause: a response that is cut or malformed counts as a delivery if its first line says 200. Behind a part of a copy the request's own noise makes one piece with that part. The piece differs from all responses before, so it was held for the request's own, and the 200 of the copy was believed. With a control byte in a header, without a length, or with a body that the noise completes, such a piece even parses as whole; a 503 then would prove that an unsafe message never ran.

Change: what has not the form of a response throughout proves nothing where an earlier response of its connection has the same status. The outcome is unknown, and the class decides. A first line with 200 delivers as before on a connection's first request, and where none before had a 200.

Evidence: CopiedResponseTable gets a second group of cells: a copy behind a blank line, a part of its head, all but its last bytes. The first group is unchanged. ResponseHistory.APartOfADuplicateWithOtherBytesBehindItMayBeAnyResponse cuts three responses at each place.

--- a/src/delivery/delivery.cpp
+++ b/src/delivery/delivery.cpp
@@ -233,9 +233,13 @@
             (repeated || response.message.status != rules::kDelivered))
             return resultWithoutOwn(AttemptStatus::cancelled, response, repeated);
         const auto resemblance = connection.history().compare(response.bytes);
-        const rules::ArrivedResponse arrived{response.completeness, resemblance, response.message.status,
-                                             http_client::contentHash(response.message),
-                                             !response.message.keepsAlive()};
+        const rules::ArrivedResponse arrived{
+            response.completeness,
+            resemblance,
+            response.message.status,
+            http_client::contentHash(response.message),
+            !response.message.keepsAlive(),
+            connection.history().mayBeginWithPart(response, reader.following())};
         const auto verdict = responseRules_.judge(request, arrived, repeated ? repeated->message.status : 0,
                                                   net::Steady::now());
         logResponse(dueAttempt, connection, {response, sentAt, resemblance, verdict});
--- a/src/http_client/response_history.cpp
+++ b/src/http_client/response_history.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxOlderResponses = 256;
 constexpr std::size_t kMaxBeginningBytes = 1024;
 constexpr std::string_view kResponseBeginning = "HTTP/1.";
+constexpr unsigned char kDelete = 0x7f;
+constexpr std::size_t kStatusEnd = std::string_view("HTTP/1.1 200").size();
 
 /// Whether a header field with this name says more than when, and on what connection, the response was sent.
 /// A Date has a resolution of one second: two that differ say nothing about responses within a second.
@@ -24,6 +26,18 @@
     return bytes.substr(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
 }
 
+/// The status line and headers, as far as they go.
+std::string_view headOf(std::string_view bytes) {
+    const auto end = std::min(bytes.find("\n\r\n"), bytes.find("\n\n"));
+    return bytes.substr(0, std::min(end, bytes.size()));
+}
+
+bool hasControlBytes(std::string_view head) {
+    return std::any_of(head.begin(), head.end(), [](unsigned char byte) {
+        return byte != '\r' && byte != '\n' && byte != '\t' && (byte < ' ' || byte == kDelete);
+    });
+}
+
 /// True if a response, or what may become one, begins between these places.
 bool responseBegins(std::string_view bytes, std::size_t earliest, std::size_t latest) {
     for (std::size_t at = std::max<std::size_t>(earliest, 1); at <= latest && at < bytes.size(); ++at) {
@@ -54,6 +68,8 @@
 void ResponseHistory::add(std::string_view received) {
     const auto bytes = withoutLeadingBlankLines(received);
     if (compare(bytes) == Resemblance::duplicate) return;
+    statuses_.emplace(bytes.substr(0, kStatusEnd));
+    heads_.insert(hashOf(headOf(bytes)));
     responses_.push_back({std::string(bytes.substr(0, kMaxBeginningBytes)), bytes.size(), hashOf(bytes)});
     if (responses_.size() <= kMaxResponses) return;
     if (!isFull()) olderResponses_.push_back(responses_.front().hash);
@@ -73,6 +89,22 @@
     return older == olderResponses_.end() ? strongest : Resemblance::duplicate;
 }
 
+bool ResponseHistory::mayBeginWithPart(const ReceivedResponse& response, std::string_view following) const {
+    const auto bytes = withoutLeadingBlankLines(response.bytes);
+    if (!hasStatusOf(bytes)) return false;
+    if (!response.isComplete() || response.untilClose || hasControlBytes(headOf(bytes))) return true;
+    // Its body may be completed by what follows a part. A second copy of it all shows that it is not.
+    return !following.empty() && !following.starts_with(bytes) && hasHeadOf(bytes);
+}
+
+bool ResponseHistory::hasStatusOf(std::string_view bytes) const {
+    return bytes.size() >= kStatusEnd && statuses_.count(bytes.substr(0, kStatusEnd)) > 0;
+}
+
+bool ResponseHistory::hasHeadOf(std::string_view bytes) const {
+    return heads_.count(hashOf(headOf(bytes))) > 0;
+}
+
 bool ResponseHistory::isDuplicate(const Response& earlier, std::string_view bytes) {
     return bytes.size() == earlier.size && bytes.substr(0, kMaxBeginningBytes) == earlier.beginning;
 }
--- a/src/http_client/response_history.hpp
+++ b/src/http_client/response_history.hpp
@@ -10,11 +10,14 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "http/message.hpp"
+#include "http_client/response_reader.hpp"
 
 namespace laurelhaven::http_client {
 
@@ -38,6 +41,10 @@
     /// hash.
     void add(std::string_view bytes);
     Resemblance compare(std::string_view bytes) const;
+    /// True if what this response says may have been said by a part of an earlier one, with other bytes
+    /// behind it: an earlier one has the same status, and this one has not the form of a response throughout.
+    /// `following`: what was received behind it.
+    bool mayBeginWithPart(const ReceivedResponse& response, std::string_view following) const;
     bool empty() const { return responses_.empty(); }
     /// True if a further response could not be compared with all earlier ones.
     bool isFull() const;
@@ -47,11 +54,15 @@
         std::string beginning;
         std::size_t size, hash;
     };
+    bool hasStatusOf(std::string_view bytes) const;
+    bool hasHeadOf(std::string_view bytes) const;
     static Resemblance compare(const Response& earlier, std::string_view bytes);
     static bool isDuplicate(const Response& earlier, std::string_view bytes);
 
-    std::deque<Response> responses_;           // the oldest first
-    std::vector<std::size_t> olderResponses_;  // hashes of those that are not in responses_ any more
+    std::deque<Response> responses_;               // the oldest first
+    std::vector<std::size_t> olderResponses_;      // hashes of those that are not in responses_ any more
+    std::set<std::string, std::less<>> statuses_;  // the beginnings of status lines, up to the code
+    std::set<std::size_t> heads_;                  // hashes of heads
 };
 
 }  // namespace laurelhaven::http_client
--- a/src/rules/response_rules.cpp
+++ b/src/rules/response_rules.cpp
@@ -61,6 +61,7 @@
         return followsRepeated ? ResponseVerdict::noneProven : ResponseVerdict::own;
     if (response.resemblance == Resemblance::duplicate) return ResponseVerdict::repeated;
     if (response.resemblance != Resemblance::none) return ResponseVerdict::unattributable;
+    if (response.mayBeginWithPart) return ResponseVerdict::unattributable;
     if (response.completeness == Completeness::complete) return ResponseVerdict::own;
     // It is no part of an earlier response. Behind a repeated one it may be the request's own, or noise that
     // belongs to that.
--- a/src/rules/response_rules.hpp
+++ b/src/rules/response_rules.hpp
@@ -8,6 +8,8 @@
 //
 // - it is the first response on its connection; or
 // - it differs from all earlier ones there: a duplicate, or a part of one, has the bytes of its original.
+//   What is cut or malformed, or has more behind it, may be such a part with other bytes behind it; there the
+//   status must differ.
 //
 // A response that repeats an earlier one proves nothing, and neither does what comes behind it: an end of the
 // connection may have crossed the request, and bytes that can't be parsed may be the request's own response.
@@ -63,8 +65,9 @@
     http_client::Completeness completeness = http_client::Completeness::none;
     http_client::Resemblance resemblance = http_client::Resemblance::none;
     int status = 0;
-    std::size_t content = 0;  ///< see http_client::contentHash()
-    bool saysClose = false;   ///< it says that the connection closes
+    std::size_t content = 0;        ///< see http_client::contentHash()
+    bool saysClose = false;         ///< it says that the connection closes
+    bool mayBeginWithPart = false;  ///< see http_client::ResponseHistory::mayBeginWithPart()
 };
 
 /// What a response means for the request that waits on its connection.
--- a/tests/http_client/response_history_test.cpp
+++ b/tests/http_client/response_history_test.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+using laurelhaven::http_client::Completeness;
+using laurelhaven::http_client::ReceivedResponse;
 using laurelhaven::http_client::Resemblance;
 using laurelhaven::http_client::ResponseHistory;
 
@@ -106,6 +108,50 @@
     EXPECT_EQ(other.compare(kOk), Resemblance::duplicate);
 }
 
+/// What a reader returns of these bytes.
+ReceivedResponse received(const std::string& bytes) {
+    laurelhaven::http::Parser parser(laurelhaven::http::Parser::Role::response);
+    const auto state = parser.feed(bytes);
+    ReceivedResponse response;
+    response.completeness = state == laurelhaven::http::Parser::State::complete ? Completeness::complete
+                            : state == laurelhaven::http::Parser::State::bad    ? Completeness::malformed
+                                                                                : Completeness::partial;
+    if (response.completeness == Completeness::partial &&
+        parser.finish() == laurelhaven::http::Parser::State::complete) {
+        response.completeness = Completeness::complete;
+        response.untilClose = true;
+    }
+    response.leftover = response.isComplete() ? parser.leftover() : 0;
+    response.bytes = bytes.substr(0, bytes.size() - response.leftover);
+    return response;
+}
+
+// The 200 of a part of a copy, with the noise behind it that was the request's own response, was held for its
+// delivery; and the 503 of such a part for its rejection.
+TEST(ResponseHistory, APartOfADuplicateWithOtherBytesBehindItMayBeAnyResponse) {
+    ResponseHistory history;
+    const std::string other = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nnumber";
+    const auto mayBeginWithPart = [&](const std::string& bytes) {
+        const auto response = received(bytes);
+        return history.mayBeginWithPart(response, bytes.substr(response.bytes.size()));
+    };
+    EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n")) << "the first one";
+    for (const std::string& original : {kOk, other, kFull}) {
+        history.add(original);
+        for (const std::string noise :
+             {"\x01\x02 noise that is no response\r\n\r\n", "\x07\x1b#noise that nobody can read#\x02\x03"})
+            for (std::size_t cut = 12; cut < original.size(); ++cut)
+                EXPECT_TRUE(mayBeginWithPart(original.substr(0, cut) + noise)) << cut << ' ' << original;
+    }
+    EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nthesix")) << "whole";
+    EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 2\r\n\r\nok and more"))
+        << "its head is no earlier one's";
+    const std::string again = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers";
+    EXPECT_FALSE(mayBeginWithPart(again + again)) << "its second copy shows that it was whole";
+    EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 500 Error\r\nContent-Length: many\r\n\r\n"))
+        << "its status is new";
+}
+
 /// The content hash of a 200 with these headers and this body.
 std::size_t contentOf(const std::string& headers, const std::string& body = "ok") {
     laurelhaven::http::Parser parser(laurelhaven::http::Parser::Role::response);
--- a/tests/program/copied_response_table_test.cpp
+++ b/tests/program/copied_response_table_test.cpp
@@ -1,8 +1,9 @@
-// The table of what may follow a response: a copy of the response that its connection carried before, or the
-// request's own one, and behind it nothing, an end, a reset, noise or another response, at once or late. Each
-// cell is played with a real sender, for each class of message, with and without a kill, at endpoints whose
-// deliveries are all alike and at others whose deliveries are distinct. It guards against a lost message that
-// was held for delivered, and an unsafe one that ran and was held for turned away.
+// The table of what may follow a response: a copy of the response that its connection carried before, a part
+// of one, one behind a blank line, or the request's own one, and behind it nothing, an end, a reset, noise or
+// another response, at once or late. Each cell is played with a real sender, for each class of message, with
+// and without a kill, at endpoints whose deliveries are all alike and at others whose deliveries are
+// distinct. It guards against a lost message that was held for delivered, and an unsafe one that ran and was
+// held for turned away.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 using namespace laurelhaven;
 using namespace check;
 
-constexpr int kSlots = 260, kHeld = 800;  // room for all cells
+constexpr int kSlots = 260, kHeld = 800;  // room for all cells of a group
 constexpr int kDeadlineMs = 6000;
 constexpr milliseconds kPatience{kDeadlineMs + 3000};
 constexpr milliseconds kRest{40};        // after which a connection may be used again
@@ -30,7 +31,15 @@
 
 enum class Pattern { alike, distinct };
 enum class Restart { none, kill };
-enum class Before { copy, own };  ///< what is written first
+enum class Group { copies, parts };  ///< of the cells; a sender has room for the connections of one
+/// What is written first.
+enum class Before {
+    copy,
+    blankAndCopy,  ///< a blank line and the copy
+    partOfHead,    ///< a copy that breaks off behind its status
+    partAtEnd,     ///< a copy that breaks off before its last bytes
+    own
+};
 enum class Behind { nothing, end, reset, noise, response };
 
 struct Status {
@@ -44,8 +53,12 @@
                                        {503, {}, "503"},
                                        {504, {}, "504"},
                                        {410, {}, "410"}}};
-constexpr std::array<std::pair<Before, std::string_view>, 2> kBefore{
-    {{Before::copy, "copy"}, {Before::own, "own"}}};
+constexpr std::array<std::pair<Before, std::string_view>, 5> kBefore{
+    {{Before::copy, "copy"},
+     {Before::blankAndCopy, "blank-and-copy"},
+     {Before::partOfHead, "part-of-head"},
+     {Before::partAtEnd, "part-at-end"},
+     {Before::own, "own"}}};
 constexpr std::array<std::pair<Behind, std::string_view>, 5> kBehind{{{Behind::nothing, "nothing"},
                                                                       {Behind::end, "end"},
                                                                       {Behind::reset, "reset"},
@@ -53,6 +66,9 @@
                                                                       {Behind::response, "response"}}};
 constexpr std::array<milliseconds, 4> kDelays{milliseconds(0), milliseconds(20), milliseconds(70),
                                               milliseconds(300)};
+constexpr milliseconds kDelayBehindPart{70};  // the one late delay that is played behind these
+constexpr std::size_t kPartOfHead = std::string_view("HTTP/1.1 200 O").size();
+constexpr std::size_t kLastBytes = 3;
 constexpr std::string_view kNoise = "\x01\x02 noise that is no response\r\n\r\n";
 
 /// One cell of the table. It has a destination of its own.
@@ -63,18 +79,40 @@
     milliseconds delay;
     std::string id;
     std::uint64_t destination;
+    bool isCopied() const { return before != Before::own; }
     std::string earlierId() const { return "before-" + id; }
     bool neverRan() const { return status->code == 429 || status->code == 503; }
     bool endsAttempts() const { return status->code == 410 || status->code == 504; }
 };
 
-std::vector<Cell> allCells() {
+/// What is written first in place of a response of its own.
+std::string copied(Before before, const std::string& response) {
+    switch (before) {
+        case Before::blankAndCopy: return "\r\n" + response;
+        case Before::partOfHead: return response.substr(0, kPartOfHead);
+        case Before::partAtEnd: return response.substr(0, response.size() - kLastBytes);
+        default: return response;
+    }
+}
+
+bool isPlayed(Before before, Behind behind, milliseconds delay) {
+    if (delay.count() == 0) return true;
+    if (behind == Behind::nothing || before == Before::blankAndCopy) return false;
+    const bool part = before == Before::partOfHead || before == Before::partAtEnd;
+    return !part || delay == kDelayBehindPart;
+}
+
+Group groupOf(Before before) {
+    return before == Before::copy || before == Before::own ? Group::copies : Group::parts;
+}
+
+std::vector<Cell> cellsOf(Group group) {
     std::vector<Cell> cells;
     for (const auto& status : kStatuses)
         for (const auto& [before, beforeName] : kBefore)
             for (const auto& [behind, behindName] : kBehind)
                 for (const auto delay : kDelays) {
-                    if (behind == Behind::nothing && delay.count() > 0) continue;
+                    if (groupOf(before) != group || !isPlayed(before, behind, delay)) continue;
                     const auto id = std::string(status.name) + "." + std::string(beforeName) + "." +
                                     std::string(behindName) + "." + std::to_string(delay.count());
                     cells.push_back({&status, before, behind, delay, id, cells.size() + 1});
@@ -150,7 +188,7 @@
     /// The copy comes when the request has been written; an end or a reset leaves the request unread.
     bool playCopy(const Cell& cell, const std::string& copy, lab::Connection& connection) {
         ++played_;
-        connection.send(copy);
+        connection.send(copied(cell.before, copy));
         if (cell.behind == Behind::noise) ran(cell.id, false);
         return follow(cell, connection);
     }
@@ -188,7 +226,7 @@
                         [this](const http::Message& m, lab::Connection& c) { return answer(m, c); }};
 };
 
-class CopiedResponseTable : public testing::TestWithParam<std::tuple<Pattern, Effect, Restart>> {
+class CopiedResponseTable : public testing::TestWithParam<std::tuple<Pattern, Effect, Restart, Group>> {
   protected:
     CopiedResponseTable() {
         log::setLevel(log::Level::off);
@@ -228,10 +266,10 @@
     void carryEarlier() {
         for (const auto& cell : cells_) {
             endpoints_.respond(cell.earlierId(), cell.status);
-            if (cell.before == Before::copy) handInMessage(cell.earlierId(), cell);
+            if (cell.isCopied()) handInMessage(cell.earlierId(), cell);
         }
         for (const auto& cell : cells_)
-            if (cell.before == Before::copy) {
+            if (cell.isCopied()) {
                 EXPECT_TRUE(within(kPatience, [&] { return endpoints_.calls(cell.earlierId()) > 0; }));
             }
         std::this_thread::sleep_for(kRest);
@@ -243,7 +281,7 @@
         if (effect() == Effect::unsafe) {
             EXPECT_LE(endpoints_.runs(cell.id), 1) << "an unsafe message ran twice";
         }
-        if (restart() == Restart::kill || cell.before == Before::copy) return;
+        if (restart() == Restart::kill || cell.isCopied()) return;
         if (cell.status->code == 200) {
             EXPECT_EQ(endpoints_.calls(cell.id), 1) << "it was delivered";
         } else if (cell.endsAttempts()) {
@@ -255,7 +293,7 @@
         }
     }
 
-    const std::vector<Cell> cells_ = allCells();
+    const std::vector<Cell> cells_ = cellsOf(std::get<3>(GetParam()));
     const Folder folder_;
     Endpoints endpoints_{pattern()};
     Platform platform_;
@@ -304,15 +342,18 @@
     constexpr std::array<const char*, 2> kPatterns{"Alike", "Distinct"};
     constexpr std::array<const char*, 3> kEffects{"Pure", "Keyed", "Unsafe"};
     constexpr std::array<const char*, 2> kRestarts{"", "OverAKill"};
+    constexpr std::array<const char*, 2> kGroups{"", "Parts"};
     return std::string(kPatterns[static_cast<std::size_t>(std::get<0>(info.param))]) +
            kEffects[static_cast<std::size_t>(std::get<1>(info.param))] +
-           kRestarts[static_cast<std::size_t>(std::get<2>(info.param))];
+           kRestarts[static_cast<std::size_t>(std::get<2>(info.param))] +
+           kGroups[static_cast<std::size_t>(std::get<3>(info.param))];
 }
 
 INSTANTIATE_TEST_SUITE_P(Classes, CopiedResponseTable,
                          testing::Combine(testing::Values(Pattern::alike, Pattern::distinct),
                                           testing::Values(Effect::pure, Effect::keyed, Effect::unsafe),
-                                          testing::Values(Restart::none, Restart::kill)),
+                                          testing::Values(Restart::none, Restart::kill),
+                                          testing::Values(Group::copies, Group::parts)),
                          nameOf);
 
 }  // namespace
--- a/tests/rules/response_rules_test.cpp
+++ b/tests/rules/response_rules_test.cpp
@@ -138,6 +138,15 @@
               ResponseVerdict::unattributable);
 }
 
+TEST_F(ResponseRulesTest, AResponseThatMayBeginWithAPartOfAnEarlierOneProvesNothing) {
+    for (const auto completeness : {Completeness::partial, Completeness::malformed, Completeness::complete})
+        for (const int repeatedStatus : {0, 200, 503}) {
+            ArrivedResponse response{completeness, Resemblance::none, 200, 1, false};
+            response.mayBeginWithPart = true;
+            EXPECT_EQ(judge(response, repeatedStatus), ResponseVerdict::unattributable);
+        }
+}
+
 TEST_F(ResponseRulesTest, AResponseThatIsNotWholeIsOwnIfItIsNoPartOfAnother) {
     for (const int status : {200, 410, 503}) {
         EXPECT_EQ(judge(part(Resemblance::none, status)), ResponseVerdict::own) << status;
