--- a/tests/http_client/response_history_test.cpp
+++ b/tests/http_client/response_history_test.cpp
@@ -146,6 +146,8 @@
     EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nthesix")) << "whole";
     EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 2\r\n\r\nok and more"))
         << "its head is no earlier one's";
+    EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 200 OK\r\nSrv-Load: \x01\xff\r\nContent-Length: 0\r\n\r\n"))
+        << "a load report that can't be read, and the rest of the head behind it";
     const std::string again = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers";
     EXPECT_FALSE(mayBeginWithPart(again + again)) << "its second copy shows that it was whole";
     EXPECT_FALSE(mayBeginWithPart("HTTP/1.1 500 Error\r\nContent-Length: many\r\n\r\n"))
