Let the tests of responses share how a sender is started and a rejection copied

Cause: the fixtures of both response tables and of ResponseOfAnotherRequest held the same lines that start a sender with settings of its own; the last one had a `within` of its own beside that of message_table.hpp; and two of its tests were alike in seven lines.

--- a/tests/program/message_table.hpp
+++ b/tests/program/message_table.hpp
@@ -1,8 +1,11 @@
-// What the tables of responses share: the class of their messages, and a destination for each cell.
+// What the tests of responses share: a sender with a class of messages, and a destination for each cell of a
+// table.
 #pragma once
 
 #include <chrono>
+#include <csignal>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -30,6 +33,30 @@
     return text.replace(text.find(usual), usual.size(), "dest=" + std::to_string(destination));
 }
 
+/// Discovery's entries for a table: one endpoint for each cell, all at this address.
+template <typename Cells>
+std::string entriesFor(const Cells& cells, const std::string& address) {
+    std::string entries;
+    for (const auto& cell : cells)
+        entries +=
+            (entries.empty() ? "" : ",") + entry("e-" + cell.id, address, static_cast<int>(cell.destination));
+    return entries;
+}
+
+/// Starts a sender that knows these endpoints, with settings of its own. `platformAddress`: where it reaches
+/// the platform.
+inline std::unique_ptr<Program> startWithSettings(const std::string& folder, Platform& platform,
+                                                  const std::string& platformAddress,
+                                                  const std::string& entries,
+                                                  const std::string& settingsText) {
+    platform.watch = list(9, true, entries) + "\n";
+    auto program = std::make_unique<Program>(folder, platform, entries);
+    program->end(SIGKILL);
+    program->configure(configuration(local(program->port()), platformAddress, entries, settingsText));
+    program->start();
+    return program;
+}
+
 /// Waits for something that has to come within the span. False if it does not.
 inline bool within(milliseconds span, const std::function<bool()>& done) {
     for (const auto until = net::Steady::now() + span; !done();) {
--- a/tests/program/response_of_another_request_test.cpp
+++ b/tests/program/response_of_another_request_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "log/log.hpp"
+#include "message_table.hpp"
 #include "program.hpp"
 #include "proxy/fault_proxy.hpp"
 #include "standin/server.hpp"
@@ -126,13 +127,8 @@
         return AddedBytes{response.bytes, {}};
     }
     void start(const std::string& effect) {
-        const auto entries = entry("a", endpointProxy_.address(), 7);
-        platform_.watch = list(9, true, entries) + "\n";
-        program_ = std::make_unique<Program>(folder_.path, platform_, entries);
-        program_->end(SIGKILL);
-        program_->configure(
-            configuration(local(program_->port()), platformProxy_.address(), entries, withEffect(effect)));
-        program_->start();
+        program_ = startWithSettings(folder_.path, platform_, platformProxy_.address(),
+                                     entry("a", endpointProxy_.address(), 7), withEffect(effect));
     }
     void handInMessage(const std::string& id) { ASSERT_EQ(program_->status(handIn(id, kDeadlineMs)), 202); }
     void deliver(const std::string& id) {
@@ -152,12 +148,16 @@
             deliver(id);
         }
     }
-    bool within(milliseconds span, const std::function<bool()>& done) {
-        for (const auto until = net::Steady::now() + span; !done();) {
-            if (net::Steady::now() > until) return false;
-            std::this_thread::sleep_for(milliseconds(2));
-        }
-        return true;
+    /// Its first call is rejected, and the response comes again; the second one delivers it, and no other
+    /// follows.
+    void deliverOnceBehindARejection(const std::string& id) {
+        endpoint_.reply(id, {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
+        sendAgain(id);
+        handInMessage(id);
+        EXPECT_TRUE(within(kPatience, [&] { return endpoint_.deliveries(id) > 0; }));
+        std::this_thread::sleep_for(milliseconds(kDeadlineMs));
+        EXPECT_EQ(endpoint_.deliveries(id), 1);
+        EXPECT_EQ(endpoint_.calls(id), 2);
     }
     bool ends(const std::string& id) {
         return within(kPatience, [&] { return endpoint_.deliveries(id) > 0 || platform_.of(id) > 0; });
@@ -267,13 +267,7 @@
 TEST_F(ResponseOfAnotherRequest, ACopyOfARejectionMeetsNoUnsafeMessageWhereItCannotBeTold) {
     start("side_effect");
     deliverSome();
-    endpoint_.reply("m", {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
-    sendAgain("m");
-    handInMessage("m");
-    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.deliveries("m") > 0; }));
-    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
-    EXPECT_EQ(endpoint_.deliveries("m"), 1);
-    EXPECT_EQ(endpoint_.calls("m"), 2);
+    deliverOnceBehindARejection("m");
     EXPECT_EQ(endpointProxy_.additions(), 0u);
 }
 
@@ -281,13 +275,7 @@
     start("side_effect");
     endpoint_.setSaysClose(true);
     deliverAlike();
-    endpoint_.reply("m", {{503, milliseconds(10), {}}, {200, milliseconds(1000), {}}});
-    sendAgain("m");
-    handInMessage("m");
-    EXPECT_TRUE(within(kPatience, [&] { return endpoint_.deliveries("m") > 0; }));
-    std::this_thread::sleep_for(milliseconds(kDeadlineMs));
-    EXPECT_EQ(endpoint_.deliveries("m"), 1);
-    EXPECT_EQ(endpoint_.calls("m"), 2);
+    deliverOnceBehindARejection("m");
     EXPECT_EQ(endpointProxy_.additions(), 1u) << "the copy was to come with the second call";
 }
 
--- a/tests/program/response_table_test.cpp
+++ b/tests/program/response_table_test.cpp
@@ -100,16 +100,9 @@
   protected:
     ResponseTable() {
         log::setLevel(log::Level::off);
-        std::string entries;
-        for (const auto& cell : cells_)
-            entries += (entries.empty() ? "" : ",") +
-                       entry("e-" + cell.id, endpoint_.address(), static_cast<int>(cell.destination));
-        platform_.watch = list(9, true, entries) + "\n";
-        program_ = std::make_unique<Program>(folder_.path, platform_, entries);
-        program_->end(SIGKILL);
-        program_->configure(configuration(local(program_->port()), platform_.stub.at(), entries,
-                                          settingsFor(effect(), kSlots, kHeld)));
-        program_->start();
+        program_ =
+            startWithSettings(folder_.path, platform_, platform_.stub.at(),
+                              entriesFor(cells_, endpoint_.address()), settingsFor(effect(), kSlots, kHeld));
     }
     ~ResponseTable() override { EXPECT_EQ(program_->end(SIGTERM), 0); }
 
