--- a/review/stand-2/kit.hpp
+++ b/review/stand-2/kit.hpp
@@ -212,12 +212,13 @@
   public:
     /// Serves a connection; the server closes it afterwards.
     using Handler = std::function<void(int fd, const std::atomic<bool>& ending)>;
-    explicit Server(Handler handler) : handler_(std::move(handler)) {
+    explicit Server(Handler handler, int port = 0) : handler_(std::move(handler)) {
         listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in at{};
         at.sin_family = AF_INET;
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof at;
         if (bind(listener_, reinterpret_cast<sockaddr*>(&at), size) != 0 || listen(listener_, 512) != 0 ||
