Review case 8: let the partner that is pushed over stay down, and count its messages

Cause: the case counted calls only, and did not show what the fall costs.

Change: the partner refuses all once it has fallen over, and the record tells what became of its messages.

--- a/review/stand-2/shut.cpp
+++ b/review/stand-2/shut.cpp
@@ -28,6 +28,8 @@
 double backlog = 0;  // calls waiting, at backlogAt
 std::int64_t backlogAt = 0;
 int refusals = 0;
+bool fallen = false;                      // pushed over: it refuses all from then on
+int taken = 0, delivered = 0, given = 0;  // messages for the partner
 
 double shareAt(std::int64_t at) {
     if (at < shutUntil) return 1;
@@ -35,6 +37,15 @@
     return std::min(1.0, kColdFrom + (1 - kColdFrom) * warm);
 }
 
+/// What a destination with this capacity may get in the span from `at` on: multiple x capacity x span.
+double allowed(std::int64_t at) {
+    double capacity = 0;
+    for (int i = 0; i < 200; ++i)
+        capacity += kCapacity * shareAt(at + static_cast<std::int64_t>(i * kSpanS * 5)) / 200;
+    const double n = kMultiple * capacity * kSpanS;
+    return n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+}
+
 /// What a call gets, with the wait that it tells in seconds.
 struct Verdict {
     int status = 200;
@@ -42,6 +53,18 @@
     std::int64_t pause = 0;
 };
 
+/// Whether what came last is more than it can bear, over two thirds of it from senders that were told.
+bool overloaded() {
+    int count = 0, fromTold = 0;
+    for (auto it = arrivals.rbegin();
+         it != arrivals.rend() && it->at >= shutUntil && arrivals.back().at - it->at <= kSpanS * 1000; ++it) {
+        ++count;
+        fromTold += static_cast<int>(told.count(it->sender));
+        if (count > allowed(it->at) && 3 * fromTold > 2 * count) return true;
+    }
+    return false;
+}
+
 Verdict arrived(int sender) {
     const std::lock_guard lock(mutex);
     const auto now = nowMs();
@@ -52,6 +75,8 @@
         verdict.status = 503;
         if (refusals++ % 2 == 0)
             verdict.status = 429, verdict.wait = static_cast<double>(shutUntil - now) / 1000;
+    } else if (fallen) {
+        verdict.status = 503;
     } else {
         const double rate = kCapacity * shareAt(now);
         backlog = std::max(0.0, backlog - rate * static_cast<double>(now - backlogAt) / 1000);
@@ -63,6 +88,10 @@
         }
     }
     arrivals.push_back({now, sender, verdict.status});
+    if (!fallen && now >= shutUntil && overloaded()) {
+        fallen = true;
+        record.line("the partner falls over");
+    }
     return verdict;
 }
 
@@ -86,6 +115,10 @@
         if (!sendAll(fd,
                      response(verdict.status, fields, verdict.status == 200 ? "ran " + id + "\n" : "full\n")))
             return;
+        if (verdict.status == 200 && !probe) {
+            const std::lock_guard lock(mutex);
+            ++delivered;
+        }
         if (call.field("connection") == "close") return;
     }
 }
@@ -104,15 +137,6 @@
     }
 }
 
-/// What a destination with this capacity may get in the span from `at` on: multiple x capacity x span.
-double allowed(std::int64_t at) {
-    double capacity = 0;
-    for (int i = 0; i < 200; ++i)
-        capacity += kCapacity * shareAt(at + static_cast<std::int64_t>(i * kSpanS * 5)) / 200;
-    const double n = kMultiple * capacity * kSpanS;
-    return n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -137,6 +161,8 @@
         platforms.push_back(std::make_unique<Platform>(entries));
         platforms.back()->onNotice = [](const std::string& id, const std::string& state) {
             record.line("notice %s %s", id.c_str(), state.c_str());
+            const std::lock_guard lock(mutex);
+            given += id[0] == 'y';
         };
         Settings settings;
         settings.grades =
@@ -171,7 +197,10 @@
                         message.key = key32(message.id);
                         message.destination = other ? 2 + static_cast<int>(i % 6) : 1;
                         const int status = client.submit(message);
-                        if (!other) record.line("n%d handed %s: %d", s + 1, message.id.c_str(), status);
+                        if (other) return;
+                        record.line("n%d handed %s: %d", s + 1, message.id.c_str(), status);
+                        const std::lock_guard lock(mutex);
+                        taken += status == 200 || status == 202;
                     });
                 });
         for (auto& client : clients) client.join();
@@ -186,6 +215,7 @@
                 ++first;
             const auto count = static_cast<double>(last - first + 1);
             const double most = run.trouble ? allowed(arrivals[first].at) : 1e9;
+            if (verdict == kBroken) break;  // it has fallen over; what comes then doesn't matter
             int fromTold = 0;
             for (auto i = first; i <= last; ++i) fromTold += static_cast<int>(told.count(arrivals[i].sender));
             if (count / most > worst && run.trouble) {
@@ -201,6 +231,8 @@
             }
             if (count > most && 3 * fromTold > 2 * count) verdict = kBroken;
         }
+        why += "; of " + std::to_string(taken) + " messages taken on for the partner " +
+               std::to_string(delivered) + " delivered, " + std::to_string(given) + " given up by then";
         if (arrivals.size() < 200) verdict = kCouldNotRun, why = "too few calls";
     }
     senders.clear();
