--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -312,13 +312,12 @@
     using Prior = rules::PriorSubmission;
     const auto it = heldMessages_.find(message.id);
     const bool isHeld = it != heldMessages_.end();
-    const auto* finished = recorder_.findFinished(message.id);
+    const auto finished = recorder_.findEnd(message.id);
     if (!isHeld && !finished) return {};
     const auto& messageClass = config_.classes[message.messageClass];
-    const bool same = isHeld
-                          ? hasContentOf(it->second.submission, message)
-                          : finished->contentDigest == store::contentDigest(message.key, message.destination,
-                                                                            messageClass, *message.body);
+    const bool same = isHeld ? hasContentOf(it->second.submission, message)
+                             : finished->hasContent(store::contentDigest(message.key, message.destination,
+                                                                         messageClass, *message.body));
     const bool ended = finished && finished->end != store::MessageEnd::abandoned;
     const auto prior = isHeld && !it->second.ended ? Prior::held
                        : isHeld && !ended          ? Prior::withdrawnInFlight
--- a/src/decisions/recorder.hpp
+++ b/src/decisions/recorder.hpp
@@ -35,9 +35,7 @@
     void noticeAcknowledged(const std::string& id);
 
     /// How the message of this id ended, if that is remembered.
-    const store::FinishedMessage* findFinished(const std::string& id) const {
-        return store_.findFinished(id);
-    }
+    std::optional<store::KnownEnd> findEnd(const std::string& id) const { return store_.findEnd(id); }
 
     bool hasUnwrittenRecords() const { return store_.hasUnwrittenRecords(); }
     /// Retries the writes that failed. Returns true when nothing is left to write.
--- /dev/null
+++ b/src/store/ended_id_files.hpp
@@ -0,0 +1,40 @@
+// The files that hold the sealed segments of EndedIds: one each, written whole beside its final name and
+// renamed, and never changed. Their numbers are in the order in which they were sealed.
+//
+// Not thread-safe: callers serialize access.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "store/ended_ids.hpp"
+
+namespace laurelhaven::store {
+
+class EndedIdFiles {
+  public:
+    /// Space that one file occupies on disk.
+    static constexpr std::uint64_t kFileBytes = (EndedIdSegment::kBytes / 512 + 1) * 512;
+
+    explicit EndedIdFiles(std::string folder) : folder_(std::move(folder)) {}
+
+    /// Reads all files, oldest first. A damaged one is logged and removed. Returns false with errno set if
+    /// the folder or a file can't be read now: then `segments` is incomplete, and the call may be repeated.
+    bool load(std::vector<EndedIdSegment>& segments);
+    /// Returns false with errno set if the segment could not be written; then nothing has changed.
+    bool write(const EndedIdSegment& segment);
+    /// Returns false with errno set if the file could not be removed.
+    bool removeOldest();
+    std::uint64_t diskBytes() const { return numbers_.size() * kFileBytes; }
+
+  private:
+    std::string path(std::uint64_t number) const;
+    bool listNumbers();
+
+    std::string folder_;
+    std::deque<std::uint64_t> numbers_;  // of the files, oldest first
+};
+
+}  // namespace laurelhaven::store
--- a/src/store/finished_messages.cpp
+++ b/src/store/finished_messages.cpp
@@ -41,6 +41,8 @@
     return contentDigest(message.key, message.destination, message.messageClass, *message.body);
 }
 
+std::uint64_t textDigest(std::string_view text) { return Digest().text(text).value(); }
+
 std::size_t FinishedMessages::position(int effect) {
     return static_cast<std::size_t>(std::clamp(effect, 0, kEffects - 1));
 }
--- a/src/store/finished_messages.hpp
+++ b/src/store/finished_messages.hpp
@@ -1,6 +1,6 @@
-// Remembers the messages that have ended, so that an id that comes again is not run again: how each ended,
+// Remembers the messages that ended last, so that an id that comes again is answered in full: how each ended,
 // and a digest of its content. The table is bounded: the oldest entries make room, those first that may be
-// repeated anyway. No I/O and no clock; not thread-safe.
+// repeated anyway. EndedIds knows the others for longer. No I/O and no clock; not thread-safe.
 #pragma once
 
 #include <array>
@@ -36,6 +36,18 @@
 std::uint64_t contentDigest(std::string_view key, std::uint64_t destination, std::string_view messageClass,
                             std::string_view body);
 std::uint64_t contentDigest(const StoredMessage& message);
+/// Equal across process runs.
+std::uint64_t textDigest(std::string_view text);
+
+/// What is known of the message that an id named before.
+struct KnownEnd {
+    MessageEnd end = MessageEnd::delivered;
+    int effect = 0;  ///< as in StoredMessage::effect; the strictest if it is no longer known
+    std::int64_t retryAfterMs = 0;
+    std::uint64_t contentDigest = 0, contentMask = 0;  ///< the bits of the digest that are known
+
+    bool hasContent(std::uint64_t digest) const { return ((digest ^ contentDigest) & contentMask) == 0; }
+};
 
 class FinishedMessages {
   public:
--- a/src/store/frame.hpp
+++ b/src/store/frame.hpp
@@ -69,6 +69,8 @@
     }
     /// True if every field was present and nothing is left over.
     bool complete() const { return ok_ && rest_.empty(); }
+    /// True if a field was missing or malformed.
+    bool failed() const { return !ok_; }
 
   private:
     std::string_view rest_;
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -39,6 +39,27 @@
 constexpr RecordMs kFinishedDeadline = -(RecordMs{1} << 40);
 constexpr RecordMs kFinishedAttemptAt = 1;  // 0 means that none may have run
 
+// The part of the budget that the fingerprints of ended messages may take from live ones.
+constexpr double kEndedIdsShare = 0.65;
+// Where the budget has no room for a segment, so much of it goes to the newest fingerprints.
+constexpr double kRecentEndedIdsShare = 0.1;
+constexpr std::size_t kEndedIdBytes = sizeof(std::uint64_t);
+// A segment is full before a compaction writes it, which is not due for the shortest records of so many more.
+constexpr std::size_t kMaxRecentEndedIds = EndedIdSegment::kEntries + 1200;
+
+std::size_t maxEndedIdSegments(std::uint64_t budgetBytes) {
+    // The newest fingerprints are in the journal and in its copy, and there is room to write one more file.
+    constexpr std::uint64_t kAside = 2 * kMaxRecentEndedIds * kEndedIdBytes + EndedIdFiles::kFileBytes;
+    const auto bytes = static_cast<std::uint64_t>(kEndedIdsShare * static_cast<double>(budgetBytes));
+    return static_cast<std::size_t>((bytes - std::min(bytes, kAside)) / EndedIdFiles::kFileBytes);
+}
+
+/// Without segments the newest fingerprints make room for each other.
+std::size_t maxRecentEndedIds(std::uint64_t budgetBytes) {
+    if (maxEndedIdSegments(budgetBytes) > 0) return EndedIds::kUnlimited;
+    return static_cast<std::size_t>(kRecentEndedIdsShare * static_cast<double>(budgetBytes)) / kEndedIdBytes;
+}
+
 enum RecordType : char {
     kAccepted = 'K',
     kAttemptBegun = 'B',
@@ -48,6 +69,7 @@
     kRemoved = 'D',
     kFinalState = 'E',
     kNoticeAcknowledged = 'N',
+    kEndedIds = 'I',
     // Formats of earlier versions, only read: classes by position, and attempts without numbers.
     kAcceptedByPosition = 'T',
     kAcceptedWithoutNumbers = 'M',
@@ -79,7 +101,9 @@
 Journal::Journal(const std::string& folder, std::uint64_t diskBytes, LegacyPositions positions)
     : path_(folder + "/messages.log"),
       budgetBytes_(diskBytes - std::min(diskBytes / 2, kFolderMarginBytes)),
-      positions_(std::move(positions)) {
+      positions_(std::move(positions)),
+      endedIds_(maxEndedIdSegments(budgetBytes_), maxRecentEndedIds(budgetBytes_)),
+      endedIdFiles_(folder) {
     // A copy that was incomplete when the process died: the old file still has everything.
     unlink((path_ + ".new").c_str());
     retryWhileFailing(path_, [this] { return openFile(); });
@@ -99,7 +123,14 @@
     return absent && error == ENOSPC;
 }
 
+void Journal::loadEndedIds() {
+    std::vector<EndedIdSegment> segments;
+    retryWhileFailing(path_, [&] { return endedIdFiles_.load(segments); });
+    for (auto& segment : segments) endedIds_.restore(std::move(segment));
+}
+
 RecoveredState Journal::recover() {
+    loadEndedIds();
     std::string text;
     retryWhileFailing(path_, [&] {
         if (!file_) return true;
@@ -295,6 +326,7 @@
         case kRemoved:
         case kFinalState:
         case kNoticeAcknowledged: valid = applyEnd(type, in); break;
+        case kEndedIds: valid = applyEndedIds(in); break;
         default: break;
     }
     if (!valid) log::error() << "journal: skipped a record of unknown type or malformed content";
@@ -354,6 +386,7 @@
 namespace {
 
 constexpr int kHexadecimal = 16;
+constexpr int kStrictestEffect = 2;  // must not be repeated
 
 FinishedMessage finishedFrom(const StoredMessage& message, MessageEnd end) {
     const bool stored = message.deadline == kFinishedDeadline;
@@ -372,17 +405,81 @@
 /// A message is removed with its attempt open if that delivered it. One that was never sent leaves nothing
 /// that a repeat could do twice.
 void Journal::rememberRemoved(const StoredMessage& message) {
-    if (message.attempts.openAttempt()) finished_.add(finishedFrom(message, MessageEnd::delivered));
-    else if (message.attempts.mayHaveRunSince()) finished_.add(finishedFrom(message, MessageEnd::abandoned));
+    if (message.attempts.openAttempt()) remember(finishedFrom(message, MessageEnd::delivered));
+    else if (message.attempts.mayHaveRunSince()) remember(finishedFrom(message, MessageEnd::abandoned));
 }
 
 void Journal::rememberEnded(const StoredMessage& message, const PendingNotice& notice) {
     const bool failed = notice.finalState == FinalState::failed;
     auto finished = finishedFrom(message, failed ? MessageEnd::failed : MessageEnd::returned);
     finished.retryAfterMs = notice.retryAfterMs;
+    remember(std::move(finished));
+}
+
+/// What may be repeated at any time needs no fingerprint. A record that is read again has its own already.
+void Journal::remember(FinishedMessage finished) {
+    const bool mayBeRepeated = finished.effect == 0;
+    if (!mayBeRepeated && !endedIds_.find(finished.id))
+        endedIds_.add(EndedId(finished.id, finished.end, finished.contentDigest));
     finished_.add(std::move(finished));
 }
 
+std::optional<KnownEnd> Journal::findEnd(const std::string& id) const {
+    if (const auto* finished = finished_.find(id))
+        return KnownEnd{finished->end, finished->effect, finished->retryAfterMs, finished->contentDigest,
+                        ~std::uint64_t{0}};
+    const auto ended = endedIds_.find(id);
+    if (!ended) return {};
+    return KnownEnd{ended->end(), kStrictestEffect, 0, ended->content(), EndedId::kContentMask};
+}
+
+std::size_t Journal::endedIdCapacity() const {
+    return endedIds_.maxSegments() > 0 ? endedIds_.maxSegments() * EndedIdSegment::kEntries
+                                       : maxRecentEndedIds(budgetBytes_);
+}
+
+/// Moves the fingerprints of ended messages to files, the oldest first. Returns false if a file could not be
+/// written: what is not in one is still in the journal.
+bool Journal::sealEndedIds() {
+    while (endedIds_.maxSegments() > 0 && endedIds_.canSeal()) {
+        if (endedIds_.segments() >= endedIds_.maxSegments()) {
+            if (!endedIdFiles_.removeOldest()) return false;
+            endedIds_.dropOldestSegment();
+            log::warning() << "journal: forgot the " << EndedIdSegment::kEntries << " ids that ended first";
+        }
+        auto segment = endedIds_.seal();
+        if (!endedIdFiles_.write(segment)) return false;
+        endedIds_.keep(std::move(segment));
+    }
+    return true;
+}
+
+std::string Journal::encodeEndedIds() const {
+    PayloadWriter out(kEndedIds);
+    for (const auto& entry : endedIds_.recent()) out.number(entry.value());
+    return out.finish();
+}
+
+/// A segment may have been written before its compaction failed: its entries are in both.
+bool Journal::applyEndedIds(PayloadReader& in) {
+    while (!in.complete()) {
+        const EndedId entry(in.number<std::uint64_t>());
+        if (in.failed()) return false;
+        if (!endedIds_.isSealed(entry)) endedIds_.add(entry);
+    }
+    return true;
+}
+
+std::uint64_t Journal::keptBytes() const {
+    return liveBytes_ + kHeaderBytes + 1 + endedIds_.recent().size() * kEndedIdBytes;
+}
+
+/// There is always room for one more file of fingerprints.
+std::uint64_t Journal::logBudgetBytes() const {
+    const auto segments = endedIds_.maxSegments() > 0 ? endedIds_.segments() + 1 : 0;
+    return budgetBytes_ - std::min(budgetBytes_, segments * EndedIdFiles::kFileBytes);
+}
+
 /// The frames of its acceptance and its end.
 std::string Journal::encodeFinished(const FinishedMessage& finished) {
     LiveRecord accepted;
@@ -470,11 +567,12 @@
     // damage. So either the torn record is cut off or a compacted file replaces this one.
     if (!truncateTornTail() && !compact()) return false;
     // Room for the file, a compacted copy beside it, and this record in both.
-    const bool full = fileBytes_ + liveBytes_ + 2 * bytes > budgetBytes_ && fileBytes_ > liveBytes_;
+    const auto kept = keptBytes();
+    const bool full = fileBytes_ + kept + 2 * bytes > logBudgetBytes() && fileBytes_ > kept;
     // The platform counts the folder as memory, so finished messages are not kept until the budget is used
     // up.
-    if (full || fileBytes_ > liveBytes_ + kMaxStaleBytes) compact(!full);
-    return fileBytes_ + bytes <= budgetBytes_;
+    if (full || fileBytes_ > kept + kMaxStaleBytes) compact(!full);
+    return fileBytes_ + bytes <= logBudgetBytes();
 }
 
 /// Returns false while bytes of a failed write still follow the last complete record.
@@ -503,10 +601,21 @@
 bool Journal::compact(bool withFinished) {
     const auto now = std::chrono::steady_clock::now();
     if (now < nextCompactionAt_) return false;
+    if (!sealEndedIds()) {
+        reportFailure("write ended ids");
+        nextCompactionAt_ = now + kCompactionRetryPause;
+        return false;
+    }
     const std::string copyPath = path_ + ".new";
     net::Fd file(open(copyPath.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
     std::uint64_t size = 0;
     bool good = static_cast<bool>(file);
+    // Before the finished messages, whose fingerprints are not added again then.
+    if (good && !endedIds_.recent().empty()) {
+        const auto bytes = encodeFrame(kRecordMagic, encodeEndedIds());
+        good = writeAll(file.get(), bytes);
+        size += bytes.size();
+    }
     for (const auto& live : liveRecords_) {
         if (!good) break;
         const auto bytes = encodeFrame(kRecordMagic, encode(live));
@@ -543,7 +652,7 @@
     const auto payload = encode(live);
     // The live records must fit twice, or no compaction would ever be possible again.
     if (payload.size() > kMaxPayloadBytes ||
-        2 * (liveBytes_ + kHeaderBytes + payload.size() + kReservedBytesPerMessage) > budgetBytes_)
+        2 * (keptBytes() + kHeaderBytes + payload.size() + kReservedBytesPerMessage) > logBudgetBytes())
         return false;
     if (!tryAppend(payload)) return false;
     liveById_.at(message.id)->message.body = message.body;  // not a second copy
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -8,6 +8,10 @@
 // While writes fail, reports of what has already happened wait in memory and are written before any other
 // record. Their number is bounded, since meanwhile no message is accepted and no attempt begins.
 //
+// How messages ended that must not be repeated freely is kept for longer: a compaction moves their
+// fingerprints, once there are enough of them, to files of their own (store/ended_id_files.hpp), which are
+// within the budget too. Only then does it drop their records.
+//
 // Not thread-safe: callers serialize access.
 #pragma once
 
@@ -21,6 +25,8 @@
 #include <vector>
 
 #include "net/socket.hpp"
+#include "store/ended_id_files.hpp"
+#include "store/ended_ids.hpp"
 #include "store/frame.hpp"
 #include "store/store.hpp"
 
@@ -49,12 +55,16 @@
     bool remove(const std::string& id) override;
     bool recordFinalState(const PendingNotice& notice) override;
     bool noticeAcknowledged(const std::string& id) override;
-    const FinishedMessage* findFinished(const std::string& id) const override { return finished_.find(id); }
+    std::optional<KnownEnd> findEnd(const std::string& id) const override;
+    /// The entry of the messages that ended last; null if it is not among them. Valid until the next call.
+    const FinishedMessage* findFinished(const std::string& id) const { return finished_.find(id); }
     bool hasUnwrittenRecords() const override { return !unwritten_.empty(); }
     bool flush() override;
 
     /// Size of the file up to the end of its last complete record.
     std::uint64_t fileBytes() const { return fileBytes_; }
+    /// How many ids of ended messages are remembered at least, once that many have ended.
+    std::size_t endedIdCapacity() const;
 
   private:
     struct LiveRecord {
@@ -74,9 +84,18 @@
     bool truncateTornTail();
     bool compact(bool withFinished = true);
     static std::string encodeFinished(const FinishedMessage& finished);
+    void remember(FinishedMessage finished);
     void rememberRemoved(const StoredMessage& message);
     void rememberEnded(const StoredMessage& message, const PendingNotice& notice);
     void dropUnendedFinished();
+    void loadEndedIds();
+    bool sealEndedIds();
+    std::string encodeEndedIds() const;
+    bool applyEndedIds(PayloadReader& in);
+    /// Bytes of the records that every compaction keeps.
+    std::uint64_t keptBytes() const;
+    /// What the file and its copy may occupy together.
+    std::uint64_t logBudgetBytes() const;
     void reportFailure(const char* what);
     void apply(std::string_view payload);
     bool applyAccepted(char type, PayloadReader& in);
@@ -105,6 +124,8 @@
     LiveRecords liveRecords_;  // in the order in which they were accepted or ended
     std::unordered_map<std::string, LiveRecords::iterator> liveById_;
     FinishedMessages finished_;
+    EndedIds endedIds_;
+    EndedIdFiles endedIdFiles_;
 };
 
 }  // namespace laurelhaven::store
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -75,8 +75,8 @@
     virtual bool recordFinalState(const PendingNotice& notice) = 0;
     /// The platform has acknowledged the notice. A repeated acknowledgement changes nothing and returns true.
     virtual bool noticeAcknowledged(const std::string& id) = 0;
-    /// How the message of this id ended, if that is remembered. Null if not; valid until the next call.
-    virtual const FinishedMessage* findFinished(const std::string&) const { return nullptr; }
+    /// How the message of this id ended, if that is remembered.
+    virtual std::optional<KnownEnd> findEnd(const std::string&) const { return {}; }
     /// True while reports wait in memory because they could not be written yet.
     virtual bool hasUnwrittenRecords() const { return false; }
     /// Tries again to write them. Returns true if none is left.
