Suspect an outage after one failure with no delivery around it, and return by confirmation

Cause: OutageDetector wants three failures in a row. A sender that keeps a told wait, or has little to send, sees one or two.

Change: a failure or rejection proves an outage no more than a rate limit. But in an outage nothing is delivered, and none ends within 2.2 s. So where nothing was delivered for that long around a failure the route becomes unconfirmed, as after a restart: what the outage rate allows until the first delivery, then 1.4 attempts for each delivery and a trickle that grows with the least capacity. A destination that was well is used fully again within 2 s; 1.4 c + 0.25 x 2 c stays under the 2 c that push a cold one over. Sparse traffic (large fleets) keeps its own rule.

--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -50,8 +50,9 @@
         for (const auto& [id, destination] : destinations_) {
             const RouteState& route = destination.route;
             const bool warming = now_ < route.recoveredAt + toSeconds(settings_.warmUp);
-            if (!route.down && !warming && route.reportedRateLimit <= 0 && !route.unconfirmed) continue;
-            all.push_back({id, route.down, {}, route.rateLimit, route.unconfirmed, false});
+            const bool down = route.down || outageDetector_.mayBeInOutage(route, now_);
+            if (!down && !warming && route.reportedRateLimit <= 0 && !route.unconfirmed) continue;
+            all.push_back({id, down, {}, route.rateLimit, route.unconfirmed, false});
             if (warming) all.back().sinceRecovery = toDuration(now_ - route.recoveredAt);
         }
         return all;
@@ -143,7 +144,7 @@
         if (health.probed) route.unconfirmedTokens -= 1;
         // Once attempts have been limited, the limit stays until the destination has had time to warm up, as
         // the rate must not jump.
-        route.unconfirmed = health.unconfirmed ||
+        route.unconfirmed = health.unconfirmed || route.outageSuspected ||
                             (route.unconfirmed && (route.attemptsOut > 0 || route.firstDeliveryAt != kNever));
     }
 
@@ -211,6 +212,7 @@
             if (entry.kind >= 0 && entry.kind < static_cast<int>(settings_.kinds.size()))
                 endpoint.separateRoute = settings_.kinds[entry.kind].separateRoutes;
             endpoint.route.window = maxWindow();
+            endpoint.route.deliveredAt = now_;
             destinationEntry(entry.destination).endpoints.push_back(&endpoint);
         }
         if (settings_.weights != Weights::none && entry.weight > 0)
@@ -301,13 +303,16 @@
             limitsReported_ = true;
         }
         const bool succeeded = outcome.result == Result::delivered;
+        route.failedSinceDelivery = !succeeded;
+        if (succeeded) route.deliveredAt = now_;
         // A failed connect puts no load on the destination.
         if (route.unconfirmed && (succeeded || outcome.result == Result::connectFailed))
             route.unconfirmedTokens =
                 std::min(kMaxUnconfirmedTokens,
                          route.unconfirmedTokens + (succeeded ? kUnconfirmedTokensPerDelivery : 1));
         if (route.unconfirmed && succeeded) route.firstDeliveryAt = std::min(route.firstDeliveryAt, now_);
-        if (now_ > route.firstDeliveryAt + toSeconds(settings_.warmUp)) route.unconfirmed = false;
+        if (now_ > route.firstDeliveryAt + toSeconds(settings_.warmUp))
+            route.unconfirmed = route.outageSuspected = false;
         // A rejection on a new connection, without the rate limit report that answers carry otherwise, means
         // that the destination has too many connections.
         Seconds& scarceUntil = connectionsScarceUntil_[endpoint.kind];
@@ -584,6 +589,7 @@
         const MessageClass& messageClass = settings_.messageClasses[message.classIndex];
         if (!endpoint.usable) return false;
         RouteState& route = routeOf(endpoint);
+        outageDetector_.suspectOutage(route, now_);
         if (now_ < route.waitUntil) return checkAt(route.waitUntil);
         if (message.orderKey) {
             const auto& queue = orderQueues_.at(*message.orderKey);
@@ -740,7 +746,10 @@
     double backoffFraction() { return kBackoffMinFraction + (1 - kBackoffMinFraction) * random_.uniform(); }
     DestinationEntry& destinationEntry(DestinationId id) {
         auto [it, fresh] = destinations_.try_emplace(id);
-        if (fresh) it->second.route.window = maxWindow();
+        if (fresh) {
+            it->second.route.window = maxWindow();
+            it->second.route.deliveredAt = now_;
+        }
         return it->second;
     }
     RouteState& routeOf(EndpointEntry& endpoint) {
--- a/src/sender/outage_detector.cpp
+++ b/src/sender/outage_detector.cpp
@@ -45,6 +45,26 @@
     destinationRoute.failureStreak = destinationRoute.rejectionStreak = 0;
 }
 
+// A sender that is told how long an outage lasts, or that has little to send, sees one or two failures of it:
+// too few to tell it from a rate limit or a single fault. But nothing is delivered in an outage, and none
+// ends within kSuspicionSeconds. So a failure with no delivery for that long before and after it is enough
+// for caution at the return, and deliveries then raise the limit within a few latencies. The cost: a healthy
+// destination with such a gap gets its next messages by one at first. Sparse traffic has gaps at any time;
+// there a single failure decides, see allEndpointsFailed().
+bool OutageDetector::mayBeInOutage(const RouteState& route, Seconds now) const {
+    return route.failedSinceDelivery &&
+           std::max(now, route.waitUntil) - route.deliveredAt >= kSuspicionSeconds &&
+           !rateControl_.isSparse(route);
+}
+
+void OutageDetector::suspectOutage(RouteState& route, Seconds now) const {
+    if (route.unconfirmed || route.down || !mayBeInOutage(route, now)) return;
+    route.outageSuspected = true;
+    // In a large fleet the first attempts of all senders would be too many at once.
+    const bool spread = settings_.senders > kSmallFleetSenders;
+    rateControl_.limitUntilConfirmed(route, spread ? random_.uniform() : 1, now);
+}
+
 void OutageDetector::markDown(RouteState& route, Result result, Seconds now) {
     if (route.down) return;
     route.down = true;
--- a/src/sender/outage_detector.hpp
+++ b/src/sender/outage_detector.hpp
@@ -25,6 +25,12 @@
     void observe(RouteState& route, DestinationEntry& destination, const EndpointEntry& endpoint,
                  const Outcome& outcome, Seconds now);
 
+    /// Limits the route as an unconfirmed one if it may have been in an outage that was seen too briefly to
+    /// show. Called before each attempt that may be sent.
+    void suspectOutage(RouteState& route, Seconds now) const;
+    /// Whether it may be in such an outage now.
+    bool mayBeInOutage(const RouteState& route, Seconds now) const;
+
   private:
     void recordDelivery(RouteState& route, RouteState& destinationRoute, Seconds now) const;
     void markDown(RouteState& route, Result result, Seconds now);
--- a/src/sender/rate_control.cpp
+++ b/src/sender/rate_control.cpp
@@ -154,12 +154,29 @@
            kRoundingMarginSeconds;
 }
 
-// Time saves up one attempt at most; only deliveries save up more.
+void RateControl::limitUntilConfirmed(RouteState& route, double attempts, Seconds now) const {
+    route.unconfirmed = true;
+    route.firstDeliveryAt = kNever;
+    route.unconfirmedTokens = attempts;
+    route.unconfirmedTokensAt = now;
+}
+
+// Time saves up one attempt at most; only deliveries save up more. Where an outage is suspected, what time
+// allows grows with the capacity that the destination has at least by then: one with a low rate limit, whose
+// rejections use up the attempts, would starve otherwise.
+double RateControl::unconfirmedRate(const RouteState& route, Seconds now) const {
+    if (route.firstDeliveryAt == kNever) return kOutageRateFactor * coldRateShare() * fairRate(route);
+    const Seconds warmUp = toSeconds(settings_.warmUp);
+    const bool grows = route.outageSuspected && warmUp > 0;
+    const double warm = grows ? std::min(1.0, (now - route.firstDeliveryAt) / warmUp) : 0;
+    return kUnconfirmedRateFactor * (coldRateShare() + (1 - coldRateShare()) * warm) * fairRate(route);
+}
+
 Seconds RateControl::unconfirmedAttemptAt(RouteState& route, Seconds now) {
     if (!route.unconfirmed) return now;
-    if (route.firstDeliveryAt == kNever && route.attemptsOut > 0) return kNever;
-    const double base = (route.firstDeliveryAt == kNever ? kOutageRateFactor : kUnconfirmedRateFactor) *
-                        coldRateShare() * fairRate(route);
+    // Attempts that were out before the suspicion may be slow for other causes.
+    if (route.firstDeliveryAt == kNever && route.attemptsOut > 0 && !route.outageSuspected) return kNever;
+    const double base = unconfirmedRate(route, now);
     if (route.unconfirmedTokens < 1)
         route.unconfirmedTokens =
             std::min(1.0, route.unconfirmedTokens + base * (now - route.unconfirmedTokensAt));
--- a/src/sender/rate_control.hpp
+++ b/src/sender/rate_control.hpp
@@ -32,6 +32,8 @@
     /// Returns when the next attempt is allowed as far as the destination is unconfirmed; at most `now`: at
     /// once; kNever: not before an outcome.
     Seconds unconfirmedAttemptAt(RouteState& route, Seconds now);
+    /// Makes the route unconfirmed, with this number of attempts allowed at once.
+    void limitUntilConfirmed(RouteState& route, double attempts, Seconds now) const;
 
   private:
     void adaptRate(RouteState& route, Result result, Seconds now);
@@ -40,6 +42,7 @@
     double fairShares(const RouteState& route, Seconds now) const;
     double pacedRate(const RouteState& route, int routes, Seconds now) const;
     double refillPaceTokens(RouteState& route, int routes, Seconds now);
+    double unconfirmedRate(const RouteState& route, Seconds now) const;
     double coldRateShare() const;
 
     const Settings& settings_;
--- a/src/sender/state.hpp
+++ b/src/sender/state.hpp
@@ -42,8 +42,11 @@
     double rateCap = kNever;  // attempts per second, learnt from rejections and the rate limit; kNever: none
     double sendRate = 0;      // smoothed, attempts per second, at sendRateAt
     Seconds sendRateAt = 0, rateCutAt = -kNever;
-    Seconds lastObservedAt = 0;  // last outcome or health report
-    double fairShares = 1;       // multiple of the fair share that this sender may use, at fairSharesAt
+    Seconds lastObservedAt = 0;        // last outcome or health report
+    Seconds deliveredAt = -kNever;     // last delivery, or since when the route is known
+    bool failedSinceDelivery = false;  // an attempt failed or was rejected after it
+    bool outageSuspected = false;      // unconfirmed for that reason; see OutageDetector::suspectOutage()
+    double fairShares = 1;             // multiple of the fair share that this sender may use, at fairSharesAt
     Seconds fairSharesAt = 0;
     double paceTokens = 1;  // attempts that the rate allows, at paceTokensAt
     Seconds paceTokensAt = 0;
--- a/src/sender_constants.hpp
+++ b/src/sender_constants.hpp
@@ -50,6 +50,8 @@
 // ... over more than this time. That is longer than the period over which destinations count their rate
 // limit, so a limit that was merely reached does not qualify.
 inline constexpr Seconds kOutageRejectionSeconds = 2.2;
+// No outage is shorter. A failure with no delivery for this long lets one be suspected.
+inline constexpr Seconds kSuspicionSeconds = 2.2;
 // The same where traffic is sparse: rejections this far apart are unlikely to come from a rate limit, which
 // would have admitted some of the attempts.
 inline constexpr int kSparseOutageRejections = 2;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -2,6 +2,7 @@
 // failure found.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -1070,6 +1071,143 @@
 
 // A working destination may close idle connections at any time: three in a row that break are no outage,
 // three new ones are.
+// ---- one sign of an outage ----
+
+/// A destination of 108 attempts a second that three senders share. Each sends it 30 messages a second, and
+/// it delivers each attempt after 180 ms, as fast as its capacity allows.
+class ColdReturn : public testing::Test {
+  protected:
+    static constexpr double kCapacity = 108, kPerSecond = 30;
+
+    static Settings fleetOf(int senders) {
+        auto settings = testSettings();
+        settings.weights = Weights::nominal;
+        settings.senders = senders;
+        settings.slots = 54;
+        settings.maxHeld = 900;
+        settings.coldCapacityShare = 0.19;
+        settings.overloadMultiple = 2;
+        settings.warmUp = seconds(14);
+        return settings;
+    }
+    ColdReturn() {
+        harness_.turn({EndpointListUpdate{ListUpdateKind::delta,
+                                          {{"e0", 1, 0, 0, EndpointState::inService, kCapacity}}}});
+    }
+    /// Serves for this long at this share of the capacity, which grows to the whole in 14 s if it is less.
+    void serve(Duration span, double share) {
+        const auto from = harness_.now;
+        for (const auto until = harness_.now + span; harness_.now < until;) {
+            handInSteadily();
+            const double past = std::chrono::duration<double>(harness_.now - from).count();
+            deliver(kCapacity / 3 * std::min(1.0, share + (1 - share) * past / 14));
+        }
+    }
+    /// Nothing is answered, but messages come.
+    void idle(Duration span) {
+        for (const auto until = harness_.now + span; harness_.now < until;) handInSteadily();
+    }
+    /// The next attempt fails in this way; those that are out have been delivered.
+    void failNext(Result result, Duration wait = {}) {
+        settle();
+        const auto before = harness_.sent.size();
+        while (harness_.sent.size() == before) handInSteadily();
+        harness_.report(harness_.sent.back().id, result, wait);
+        answered_ = harness_.sent.size();
+    }
+    std::size_t sentWithin(Duration from, Duration span) const {
+        std::size_t count = 0;
+        for (const auto at : harness_.sentAt) count += at >= from && at < from + span;
+        return count;
+    }
+    /// In each span of 2 s behind the return this sender sends its third of what pushes the destination over,
+    /// or less: of N + 2 x root of N + 2, N being twice its capacity then, which grows from the return on.
+    void expectNoOverload(Duration returnedAt) const {
+        for (Duration from = returnedAt; from < returnedAt + seconds(12); from += milliseconds(100)) {
+            const double past = std::chrono::duration<double>(from - returnedAt).count() + 1;
+            const double attempts = 2 * 2 * kCapacity * std::min(1.0, 0.19 + 0.81 * past / 14);
+            const double allowed = attempts + 2 * std::sqrt(attempts) + 2;
+            EXPECT_LE(static_cast<double>(sentWithin(from, seconds(2))), allowed / 3) << past;
+        }
+    }
+
+    Harness harness_{fleetOf(3)};
+
+  private:
+    void handInSteadily() {
+        harness_.now += milliseconds(10);
+        due_ += kPerSecond / 100;
+        std::vector<Event> events{TimerFired{}};
+        for (; due_ >= 1; due_ -= 1)
+            events.push_back(MessageAccepted{"m" + std::to_string(handedIn_++), 1, 1, seconds(10), {}, {}});
+        harness_.turn(events);
+    }
+    void deliver(double perSecond) {
+        credit_ = std::min(credit_ + perSecond / 100, 3.0);
+        while (credit_ >= 1 && answered_ < harness_.sent.size() &&
+               harness_.now >= harness_.sentAt[answered_] + milliseconds(180)) {
+            credit_ -= 1;
+            auto outcome = harness_.outcome(harness_.sent[answered_++].id, Result::delivered);
+            outcome.took = milliseconds(180);
+            harness_.turn({outcome});
+        }
+    }
+    void settle() {
+        while (answered_ < harness_.sent.size())
+            harness_.report(harness_.sent[answered_++].id, Result::delivered);
+    }
+
+    int handedIn_ = 0;
+    double due_ = 0, credit_ = 0;
+    std::size_t answered_ = 0;
+};
+
+// In the review's case three senders that had been refused once, and told until when, sent at nearly their
+// usual pace when the destination opened cold, and pushed it over.
+TEST_F(ColdReturn, IsNotOverloadedAfterOneToldWait) {
+    serve(seconds(5), 1);
+    failNext(Result::rejected, seconds(8));
+    idle(milliseconds(8000));
+    const auto returnedAt = harness_.now;
+    serve(seconds(20), 0.19);
+    expectNoOverload(returnedAt);
+    EXPECT_GE(sentWithin(returnedAt + seconds(14), seconds(6)), 150u) << "it is used fully again";
+}
+
+// Whatever the sign is, and however short the wait that it tells.
+TEST_F(ColdReturn, IsNotOverloadedAfterOneFailureOfAnyKind) {
+    for (const auto result : {Result::rejected, Result::connectFailed, Result::reset, Result::error}) {
+        serve(seconds(20), 1);
+        failNext(result, result == Result::rejected ? milliseconds(500) : Duration{});
+        // Nothing more is sent in the outage: a sender that had little for the destination saw no more of it.
+        harness_.now += seconds(4);
+        const auto returnedAt = harness_.now;
+        serve(seconds(14), 0.19);
+        expectNoOverload(returnedAt);
+    }
+}
+
+TEST_F(ColdReturn, IsUsedFullyWithinTwoSecondsIfItWasNeverCold) {
+    serve(seconds(5), 1);
+    failNext(Result::rejected, seconds(4));
+    idle(milliseconds(4000));
+    const auto returnedAt = harness_.now;
+    serve(seconds(6), 1);
+    EXPECT_GE(sentWithin(returnedAt + seconds(2), seconds(2)), 55u);
+}
+
+// A rate limit tells waits of up to a second to senders whose other attempts it lets through.
+TEST_F(ColdReturn, IsNotSuspectedForAShortWaitUnderLoad) {
+    for (int i = 0; i < 5; ++i) {
+        serve(seconds(3), 1);
+        failNext(Result::rejected, milliseconds(900));
+        serve(milliseconds(900), 1);
+        const auto returnedAt = harness_.now;
+        serve(seconds(2), 1);
+        EXPECT_GE(sentWithin(returnedAt, seconds(2)), 45u) << i;
+    }
+}
+
 TEST(Outage, BrokenIdleConnectionsAreNoOutage) {
     const auto outageAfter = [](bool stale) {
         Harness harness;
