Carry a single failure of a destination over a restart

Cause: what a process had concluded was saved at most when something was delivered, and a rejection on record was no evidence to the next process: once discovery had confirmed the endpoints it sent at the usual pace.

Change: a message that is found failed or rejected makes its destination suspected, whatever the time of the saved list; a failure schedules a write of the list (one a second at most), and a suspicion is saved as an outage. The forms on disk stay.

The module's test IsNotOverloadedAfterARestartWithOneRejectionOnRecord: green.

--- a/include/stoathub/stoathub.hpp
+++ b/include/stoathub/stoathub.hpp
@@ -105,6 +105,7 @@
     /// although they count within a run.
     int attempts = 0;
     int failures = 0;            ///< known failures, failed connects included, rejections not
+    bool sawFailure = false;     ///< an attempt failed or was rejected, however long ago
     bool mayHaveRun = false;     ///< at least one of them may have run
     Duration sinceMayHaveRun{};  ///< since the first such attempt was sent; the key window spans restarts
 };
@@ -178,6 +179,8 @@
     /// attempt first, then little more than what the destination delivers, until the warm-up time has passed.
     bool unconfirmed = false;
     bool probed = false;  ///< a probe has just reached it, which loads it like an attempt
+    /// It failed lately, and nothing has been delivered for as long as an outage takes. Only reported.
+    bool suspected = false;
 };
 
 using Event = std::variant<MessageAccepted, Outcome, MessageWithdrawn, TimerFired, EndpointListUpdate,
--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -547,7 +547,7 @@
     const std::lock_guard lock(mutex_);
     std::vector<DestinationHealth> all;
     for (const auto& s : sender_.destinationHealth()) {
-        all.push_back({s.destination, s.down, {}, s.rateLimit, s.unconfirmed, false});
+        all.push_back({s.destination, s.down, {}, s.rateLimit, s.unconfirmed, false, s.suspected});
         if (s.sinceRecovery) all.back().sinceRecovery = ceilMs(*s.sinceRecovery);
     }
     return all;
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -103,7 +103,8 @@
     std::optional<std::chrono::milliseconds> sinceRecovery;  ///< since the end of its last outage
     double rateLimit = 0;  ///< requests per second, for all senders together; 0: unknown
     bool unconfirmed = false;
-    bool probed = false;  ///< a probe has just reached it
+    bool probed = false;     ///< a probe has just reached it
+    bool suspected = false;  ///< it may be in an outage that was seen too briefly to show
 };
 
 /// The end of a message that was not delivered.
--- a/src/decisions/recovered_messages.cpp
+++ b/src/decisions/recovered_messages.cpp
@@ -24,6 +24,7 @@
     // taken for an outage, and the busiest destinations would go through warm-up while their backlog waits.
     const bool newFailure = message.attempts.lastFailureAt() > healthKnownUntil;
     prior.failures = newFailure ? static_cast<int>(message.attempts.failures()) : 0;
+    prior.sawFailure = message.attempts.failures() > 0 || recovered.state == RecoveryState::neverRan;
     prior.mayHaveRun = recovered.mayHaveRun;
     prior.sinceMayHaveRun = recovered.sinceMayHaveRun;
     return prior;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "http/message.hpp"
 #include "log/log.hpp"
@@ -302,8 +303,9 @@
 
 void Roster::attemptFinished(const decisions::DueAttempt& attempt, const decisions::AttemptResult& result) {
     const bool delivered = result.status == decisions::AttemptStatus::delivered;
-    if (!delivered && !result.unexpectedServer) return;
     const std::lock_guard lock(outcomesMutex_);
+    if (!delivered && !std::exchange(failureSeen_, true)) wake_.notify_all();
+    if (!delivered && !result.unexpectedServer) return;
     const bool first = outcomes_.empty();
     auto& outcomes = outcomes_[attempt.endpoint];  // bounded by the number of endpoints in use
     if (outcomes.address != attempt.address) outcomes = {attempt.address, 0, false};
@@ -458,6 +460,11 @@
 void Roster::markUnsaved(const std::string& endpoint) {
     if (!file_) return;
     unsaved_.insert(endpoint);
+    scheduleWrite();
+}
+
+/// At most one write in `writeEvery`.
+void Roster::scheduleWrite() {
     const auto at = std::max(Steady::now(), lastWriteAt_ + options_.writeEvery);
     if (writeAt_ == Steady::time_point{} || at < writeAt_) writeAt_ = at;
 }
@@ -467,16 +474,19 @@
 std::vector<kept::DestinationHealth> Roster::changedDestinationHealth(RecordMs now) {
     std::unordered_map<std::uint64_t, kept::DestinationHealth> fresh;
     for (const auto& health : decisions_.destinationHealth()) {
-        kept::DestinationHealth current{health.destination, health.down, 0, 0, health.rateLimit};
+        // What is only suspected counts as an outage for the next process, which can't know of a delivery
+        // since.
+        const bool down = health.down || health.suspected;
+        kept::DestinationHealth current{health.destination, down, 0, 0, health.rateLimit};
         if (health.sinceRecovery) current.recoveredAt = now - health.sinceRecovery->count();
         const auto it = savedHealth_.find(health.destination);
         if (it != savedHealth_.end()) current.lastOutageAt = it->second.lastOutageAt;
-        if (health.down) current.lastOutageAt = now;
+        if (down) current.lastOutageAt = now;
         if (it != savedHealth_.end()) {
             const auto& saved = it->second;
             if (std::abs(saved.recoveredAt - current.recoveredAt) < kWarmUpStartTolerance.count())
                 current.recoveredAt = saved.recoveredAt;
-            if (saved.down && health.down && now - saved.lastOutageAt < options_.outageMemory.count() / 4)
+            if (saved.down && down && now - saved.lastOutageAt < options_.outageMemory.count() / 4)
                 current.lastOutageAt = saved.lastOutageAt;
             if (std::abs(saved.rateLimit - current.rateLimit) < 0.1 * saved.rateLimit)
                 current.rateLimit = saved.rateLimit;
@@ -499,6 +509,10 @@
 }
 
 void Roster::write(RecordMs now) {
+    {
+        const std::lock_guard lock(outcomesMutex_);
+        failureSeen_ = failureScheduled_ = false;
+    }
     writeAt_ = {};
     lastWriteAt_ = Steady::now();
     if (!recordClock_.persist()) {  // without it a later run could not interpret the times
@@ -584,22 +598,26 @@
             continue;
         }
         std::unordered_map<std::string, EndpointOutcomes> outcomes;
+        bool failed = false;
         {
             std::unique_lock lock(outcomesMutex_);
             if (next == Steady::time_point::max()) next = Steady::now() + std::chrono::hours(1);
-            wake_.wait_until(lock, stopped, next, [&] { return urgent_ || !outcomes_.empty(); });
+            wake_.wait_until(lock, stopped, next, [&] {
+                return urgent_ || failureSeen_ > failureScheduled_ || !outcomes_.empty();
+            });
             // Deliveries are collected for a while; urgent outcomes and due work are not delayed.
-            if (!urgent_ && !outcomes_.empty())
+            if (!urgent_ && failureSeen_ == failureScheduled_ && !outcomes_.empty())
                 wake_.wait_until(lock, stopped, std::min(next, Steady::now() + kOutcomeBatchTime),
-                                 [&] { return urgent_; });
+                                 [&] { return urgent_ || failureSeen_ > failureScheduled_; });
             urgent_ = false;
+            failed = failureSeen_ > failureScheduled_;
+            failureScheduled_ = failureSeen_;
             outcomes.swap(outcomes_);
         }
-        if (outcomes.empty()) continue;
+        if (outcomes.empty() && !failed) continue;
         const std::lock_guard lock(listMutex_);
         applyOutcomes(std::move(outcomes));
-        if (file_ && writeAt_ == Steady::time_point{})  // the health of destinations may have changed
-            writeAt_ = std::max(Steady::now(), lastWriteAt_ + options_.writeEvery);
+        if (file_) scheduleWrite();  // the health of destinations may have changed
     }
 }
 
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -111,6 +111,7 @@
     void probeEndpoint(const std::string& endpoint);
     bool probeStillAllowed(const std::string& endpoint, const std::string& address) const;
     void markUnsaved(const std::string& endpoint);
+    void scheduleWrite();
     void write(trust::RecordMs now);
     std::vector<kept::DestinationHealth> changedDestinationHealth(trust::RecordMs now);
     void rewriteFile(trust::RecordMs now);
@@ -136,6 +137,9 @@
     std::condition_variable_any wake_;
     std::unordered_map<std::string, EndpointOutcomes> outcomes_;
     bool urgent_ = false;
+    // Attempts failed since the last write, so what is known of health may differ; a write is scheduled for
+    // it.
+    bool failureSeen_ = false, failureScheduled_ = false;
     std::stop_source stop_;
     threads::Thread thread_;
 };
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -50,9 +50,10 @@
         for (const auto& [id, destination] : destinations_) {
             const RouteState& route = destination.route;
             const bool warming = now_ < route.recoveredAt + toSeconds(settings_.warmUp);
-            const bool down = route.down || outageDetector_.mayBeInOutage(route, now_);
-            if (!down && !warming && route.reportedRateLimit <= 0 && !route.unconfirmed) continue;
-            all.push_back({id, down, {}, route.rateLimit, route.unconfirmed, false});
+            const bool suspected = outageDetector_.mayBeInOutage(route, now_);
+            if (!route.down && !suspected && !warming && route.reportedRateLimit <= 0 && !route.unconfirmed)
+                continue;
+            all.push_back({id, route.down, {}, route.rateLimit, route.unconfirmed, false, suspected});
             if (warming) all.back().sinceRecovery = toDuration(now_ - route.recoveredAt);
         }
         return all;
@@ -109,6 +110,10 @@
             message.pendingTokens = prior.attempts > 0 ? kRetryCostTokens : 0;
         }
         RouteState& route = message.destination->route;
+        if (prior.sawFailure) {
+            route.failedSinceDelivery = true;
+            route.deliveredAt = -kNever;
+        }
         if (route.failureStreak == 0) route.streakStartedAt = now_;
         route.failureStreak += prior.failures;
         if (route.failureStreak - route.rejectionStreak >= kOutageFailures) route.down = true;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -1196,6 +1196,19 @@
     EXPECT_GE(sentWithin(returnedAt + seconds(2), seconds(2)), 55u);
 }
 
+// What a kill leaves of the sign is a message that was rejected once.
+TEST_F(ColdReturn, IsNotOverloadedAfterARestartWithOneRejectionOnRecord) {
+    std::vector<Event> backlog{
+        MessageAccepted{"rejected", 1, 1, seconds(10), {}, PriorAttempts{.attempts = 1, .sawFailure = true}}};
+    for (int i = 0; i < 60; ++i)
+        backlog.push_back(
+            MessageAccepted{"untried" + std::to_string(i), 1, 1, seconds(10), {}, PriorAttempts{}});
+    harness_.turn(backlog);
+    const auto returnedAt = harness_.now;
+    serve(seconds(14), 0.19);
+    expectNoOverload(returnedAt);
+}
+
 // A rate limit tells waits of up to a second to senders whose other attempts it lets through.
 TEST_F(ColdReturn, IsNotSuspectedForAShortWaitUnderLoad) {
     for (int i = 0; i < 5; ++i) {
