Hold the wait for one socket to a point in time where poll() is ppoll()

Cause: arm64 has no system call poll. The C library's poll() is ppoll(), which a stop restarts with the time that was left when it began, so each stop lengthens the wait by its own length. recv() under a time-out is coarse, and a timer descriptor a thread doesn't fit into 128 descriptors.

Change: waitForEvents() has a module of its own. Where there is a system call poll it is used as before. Elsewhere a POSIX timer of the thread, set to the point in time, interrupts a ppoll() without a time; its signal is blocked but while the thread waits. The fault shim interrupts ppoll(), too.

--- a/lab/shim/fault_shim.cpp
+++ b/lab/shim/fault_shim.cpp
@@ -203,6 +203,13 @@
     return libc(fd, bytes, size, flags);
 }
 
+int ppoll(pollfd* all, nfds_t count, const timespec* timeout, const sigset_t* mask) {
+    static const auto libc = real<decltype(&ppoll)>("ppoll");
+    const bool waits = !timeout || timeout->tv_sec != 0 || timeout->tv_nsec != 0;
+    if (waits && fails(&FaultControl::interrupted)) return -1;
+    return libc(all, count, timeout, mask);
+}
+
 int poll(pollfd* all, nfds_t count, int timeout) {
     static const auto libc = real<decltype(&poll)>("poll");
     if (timeout != 0 && fails(&FaultControl::interrupted)) return -1;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -13,24 +13,14 @@
 #include <system_error>
 #include <thread>
 
+#include "net/timed_wait.hpp"
+
 namespace laurelhaven::net {
 namespace {
 
 constexpr std::chrono::milliseconds kSocketRetryPause{20};  // between attempts to create a socket
 constexpr std::size_t kMaxReadBytes = 4096;  // small, as many threads have it on their small stacks
 
-/// Waits for any of the events. False if the deadline passes first.
-bool waitForEvents(int fd, short events, Deadline until) {
-    pollfd request{fd, events, 0};
-    for (;;) {
-        const auto left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(until - Steady::now()).count();
-        const int found = poll(&request, 1, static_cast<int>(std::clamp<long>(left + 1, 0, 3600000)));
-        if (found > 0) return true;
-        if (found == 0 || errno != EINTR) return false;
-    }
-}
-
 bool wouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 }  // namespace
--- a/tests/net/time_limits_test.cpp
+++ b/tests/net/time_limits_test.cpp
@@ -2,7 +2,10 @@
 // and SO_SNDTIMEO. An attempt that gets no answer must end while there is time to report the end of its
 // message.
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -80,4 +83,53 @@
               net::IoResult::closed);
 }
 
+// ---- a process that is stopped and continued ----
+
+constexpr milliseconds kEndOwed{350};  // behind a message's time, by the rules
+
+/// Stops this process and lets it go on, again and again, while it lives.
+class Stopper {
+  public:
+    Stopper(milliseconds stopped, milliseconds running, int times) {
+        const pid_t target = getpid();
+        child_ = fork();
+        if (child_ != 0) return;
+        for (int i = 0; i < times; ++i) {
+            kill(target, SIGSTOP);
+            pause(stopped);
+            kill(target, SIGCONT);
+            pause(running);
+        }
+        _exit(0);
+    }
+    ~Stopper() { waitpid(child_, nullptr, 0); }
+    Stopper(const Stopper&) = delete;
+
+  private:
+    static void pause(milliseconds span) { usleep(static_cast<useconds_t>(span.count() * 1000)); }
+    pid_t child_;
+};
+
+milliseconds delayOfRead(milliseconds timeout) {
+    const SocketPair pair;
+    const auto until = net::Steady::now() + timeout;
+    std::string got;
+    EXPECT_EQ(net::receive(pair.fds[0], got, until), net::IoResult::timedOut);
+    return std::chrono::duration_cast<milliseconds>(net::Steady::now() - until);
+}
+
+// Where poll() is ppoll(), each stop lengthened the wait by its own length: a sender that was held to its
+// share of a core by stops reported the ends at a silent endpoint seconds late, or never.
+TEST(TimeLimits, ReadEndsAtItsDeadlineThoughTheProcessIsStoppedManyTimesASecond) {
+    const Stopper stopper(milliseconds(19), milliseconds(1), 150);
+    EXPECT_LE(delayOfRead(milliseconds(1000)), kEndOwed);
+}
+
+TEST(TimeLimits, ReadEndsAsTheProcessGoesOnBehindALongStop) {
+    const auto begun = net::Steady::now();
+    const Stopper stopper(milliseconds(2000), milliseconds(1), 1);
+    delayOfRead(milliseconds(1000));
+    EXPECT_LE(net::Steady::now() - begun, milliseconds(2000) + kEndOwed);
+}
+
 }  // namespace
