--- a/lab/soak/clients.cpp
+++ b/lab/soak/clients.cpp
@@ -7,7 +7,8 @@
 
 constexpr milliseconds kPatience{400};  // of a client for its answer
 constexpr int kAccepted = 202;
-constexpr std::size_t kRemembered = 16;       // of the requests that were accepted
+constexpr std::size_t kRemembered = 16;  // of the requests that were accepted last, and first
+constexpr int kHurriedPauseMs = 6, kHurriedPerRepeat = 12;
 constexpr milliseconds kBadClientOwed{3000};  // within which a bad client gets its error or its close
 
 }  // namespace
@@ -17,6 +18,8 @@
         const auto id = "n" + std::to_string(machine_.number()) + "-" + std::to_string(plan_.number) + "-" +
                         std::to_string(i);
         if (switches_.on(Kind::repeats, machine_.number())) repeatEarlier();
+        const bool hurries = switches_.on(Kind::lateRepeats, machine_.number()).has_value();
+        if (hurries && oneIn(chance_, kHurriedPerRepeat)) repeatFirst();
         const bool stopping = machine_.stopping();
         if (switches_.on(Kind::rudeClients, machine_.number()) && oneIn(chance_, 2)) {
             beRude(id);
@@ -26,8 +29,9 @@
             // A sender that was told to end hears of every connection that it leaves open.
             if (!stopping && oneIn(chance_, 12)) kept.reset();
         }
-        std::this_thread::sleep_for(
-            milliseconds(stopping ? between(chance_, 5, 60) : between(chance_, 10, 200)));
+        const int longest = hurries ? kHurriedPauseMs : stopping ? 60 : plan_.longestPauseMs;
+        const int least = hurries ? 0 : stopping ? 5 : 10;
+        std::this_thread::sleep_for(milliseconds(between(chance_, least, longest)));
     }
 }
 
@@ -116,6 +120,10 @@
             oracle_.answered(id, heard.status, Steady::now());
             if (heard.status == kAccepted) accepted_.push_back(text);
             if (accepted_.size() > kRemembered) accepted_.pop_front();
+            // Pure messages may run again without restriction, and are not remembered for ever.
+            const bool mayRunAgain = its.effect == Effect::pure;
+            if (heard.status == kAccepted && !mayRunAgain && firstAccepted_.size() < kRemembered)
+                firstAccepted_.push_back(text);
             if (!heard.keepsAlive) kept.reset();
             return kept;
         }
@@ -146,6 +154,15 @@
 void Client::repeatEarlier() {
     if (accepted_.empty()) return;
     const auto& text = accepted_[between<std::size_t>(chance_, 0, accepted_.size() - 1)];
+    sendAgain(text);
+}
+
+void Client::repeatFirst() {
+    if (firstAccepted_.empty()) return;
+    sendAgain(firstAccepted_[between<std::size_t>(chance_, 0, firstAccepted_.size() - 1)]);
+}
+
+void Client::sendAgain(const std::string& text) const {
     if (const auto fd = connect()) exchange(fd.get(), text, Steady::now() + kPatience, false);
 }
 
--- a/lab/soak/clients.hpp
+++ b/lab/soak/clients.hpp
@@ -21,6 +21,7 @@
     std::uint64_t seed = 1;
     std::size_t number = 0;    ///< among the clients of its sender
     std::size_t partners = 1;  ///< destinations that it hands in for
+    int longestPauseMs = 200;  ///< between two messages
 };
 
 class Client {
@@ -61,6 +62,9 @@
     void beRude(const std::string& id);
     /// Sends a request again that was accepted, as after a connection that broke behind its answer.
     void repeatEarlier();
+    /// Sends one of the first requests that were accepted again.
+    void repeatFirst();
+    void sendAgain(const std::string& text) const;
     void sendHalfAndStay(const std::string& id, int fd, const std::string& half);
     void sendAndLeave(HandIn& in, int fd, const std::string& text);
     void halfClose(HandIn& in, int fd, const std::string& text);
@@ -71,7 +75,8 @@
     const Switches& switches_;
     Chance chance_;
     std::array<net::Fd, kConnections> kept_;
-    std::deque<std::string> accepted_;  // the last requests that were
+    std::deque<std::string> accepted_;        // the last requests that were
+    std::vector<std::string> firstAccepted_;  // the first ones
 };
 
 }  // namespace laurelhaven::lab::soak
--- a/lab/soak/partner.cpp
+++ b/lab/soak/partner.cpp
@@ -11,7 +11,6 @@
 constexpr milliseconds kSurelyHeard{
     20};  // behind an answer, after which its sender did not give up just then
 constexpr milliseconds kHangStep{50};
-constexpr double kWeight = 4000;  // calls a second that a partner takes: its limit is not what is looked at
 constexpr int kLeastTakes = 5, kMostTakes = 250;  // milliseconds, of a call
 constexpr int kLeastLater = 1, kMostLater = 150;  // milliseconds, from a response to what comes behind it
 constexpr int kFailed = 500, kUnavailable = 503, kOver = 410, kExhausted = 504;  // status codes
@@ -47,7 +46,14 @@
         host_ + ":0", [this, name](const http::Message& m, Connection& c) { return answer(name, m, c); });
     server->start();
     current_.push_back(name);
-    return {name, server->address(), "z", "partner", destination(), listing::Status::serving, kWeight, 0};
+    return {name,
+            server->address(),
+            "z",
+            "partner",
+            destination(),
+            listing::Status::serving,
+            slowStart_.settings().capacity,
+            0};
 }
 
 std::optional<listing::Endpoint> Partner::drainOldest() {
@@ -55,8 +61,14 @@
     if (current_.size() < kEndpointsEach) return {};
     const auto name = current_.front();
     current_.pop_front();
-    return listing::Endpoint{name,          servers_[name]->address(), "z",     "partner",
-                             destination(), listing::Status::draining, kWeight, 0};
+    return listing::Endpoint{name,
+                             servers_[name]->address(),
+                             "z",
+                             "partner",
+                             destination(),
+                             listing::Status::draining,
+                             slowStart_.settings().capacity,
+                             0};
 }
 
 void Partner::refuse(bool refuses) {
@@ -67,6 +79,11 @@
     }
 }
 
+/// Every second refusal tells when it opens.
+bool Partner::turnAwayShut(std::uint64_t call, Connection& connection, milliseconds opensIn) {
+    return draw(0, 1) == 0 ? turnAway(call, connection, opensIn) : turnAwayFull(call, connection);
+}
+
 void Partner::cut() {
     const std::lock_guard lock(mutex_);
     for (auto& [name, server] : servers_) server->cut();
@@ -181,6 +198,11 @@
     const auto call =
         oracle_.callBegan(header(request, "Req-Id"), header(request, "Idempotency-Key"), request.body, name,
                           destination(), [&connection] { return connection.open(); });
+    const auto sender = oracle_.senderOf(call);
+    const auto verdict = slowStart_.arrived(sender, Steady::now());
+    if (!verdict.overload.empty()) oracle_.violated("slow start", verdict.overload);
+    if (verdict.answer == SlowStart::Answer::shut) return turnAwayShut(call, connection, verdict.opensIn);
+    if (verdict.answer == SlowStart::Answer::full) return turnAwayFull(call, connection);
     // The connection is gone with this handler: nobody may ask for it behind that.
     const auto end = [&](CallEnd how) { oracle_.callEnded(call, how); };
     if (happens(Kind::withdrawn)) return endAttempts(call, connection, kOver);
@@ -189,7 +211,10 @@
         return turnAway(call, connection, milliseconds(*wait));
     if (happens(Kind::full)) return turnAwayFull(call, connection);
     if (happens(Kind::noises) && draw(0, 1) == 0) return answerWithNoise(call, connection);
-    if (!connection.pause(milliseconds(draw(kLeastTakes, kMostTakes))))
+    const int mostTakes = switches_.on(Kind::lateRepeats, sender)
+                              ? kLeastTakes
+                              : static_cast<int>(slowStart_.settings().longestCall.count());
+    if (!connection.pause(verdict.queued + milliseconds(draw(kLeastTakes, mostTakes))))
         return end(CallEnd::mayHaveRun), false;
     if (happens(Kind::hangs)) {
         while (connection.pause(kHangStep) && switches_.on(Kind::hangs, number_)) {
--- a/lab/soak/partner.hpp
+++ b/lab/soak/partner.hpp
@@ -12,6 +12,7 @@
 #include "listing/listing.hpp"
 #include "soak/chance.hpp"
 #include "soak/oracle.hpp"
+#include "soak/slow_start.hpp"
 #include "soak/switches.hpp"
 #include "standin/server.hpp"
 
@@ -23,8 +24,13 @@
   public:
     /// `host`: the address on which its endpoints listen.
     Partner(std::size_t number, std::string host, const Switches& switches, Oracle& oracle,
-            std::uint64_t seed)
-        : number_(number), host_(std::move(host)), switches_(switches), oracle_(oracle), chance_(seed) {}
+            const SlowStartSettings& slowStart, std::uint64_t seed)
+        : slowStart_(slowStart),
+          number_(number),
+          host_(std::move(host)),
+          switches_(switches),
+          oracle_(oracle),
+          chance_(seed) {}
 
     std::uint64_t destination() const { return number_ + 1; }
     /// Starts one more endpoint.
@@ -35,8 +41,11 @@
     void refuse(bool refuses);
     /// Breaks all open connections.
     void cut();
+    /// It refuses all for this long, and comes back cold.
+    void shut(milliseconds span) { slowStart_.shut(Steady::now(), Steady::now() + span); }
 
   private:
+    bool turnAwayShut(std::uint64_t call, Connection& connection, milliseconds opensIn);
     int draw(int least, int most);
     bool happens(Kind kind);
     bool answer(const std::string& name, const http::Message& request, Connection& connection);
@@ -58,6 +67,7 @@
     /// What comes behind a response while its connection rests. False closes the connection.
     bool rest(Connection& connection);
 
+    SlowStart slowStart_;
     std::size_t number_;
     std::string host_;
     const Switches& switches_;
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -27,7 +27,12 @@
 constexpr milliseconds kAftermath{2000};  // for which a trouble that is over still stands in the report
 constexpr milliseconds kKillAfterStopRule{200};
 constexpr std::size_t kPartners = 4;
-constexpr milliseconds kWarmUp{2000};  // short, or outages of the first seconds slow all that comes after
+constexpr milliseconds kWarmUp{2000};    // short, or outages of the first seconds slow all that comes after
+constexpr double kAmpleCapacity = 4000;  // calls a second of a partner
+constexpr double kSlowStartCapacityEach = 13;  // for each sender: little more than it has for a partner
+constexpr milliseconds kSlowStartCall{100};    // at most, so that the slots suffice
+constexpr int kSlowStartPauseMs = 60;          // of a client, at most
+constexpr milliseconds kSlowStartWarmUp{14000};
 constexpr int kLeastMemoryMb = 32, kMostMemoryMb = 192;  // every other sender has the least
 constexpr int kSockets = 512;
 constexpr std::size_t kCrowdSize = 2 * kSockets;
@@ -92,6 +97,12 @@
         return made;
     }
 
+    /// Where it is asked for by name: capacities are ample otherwise, as limits are not what is looked at.
+    bool playsSlowStart() const {
+        return std::find(options_.only.begin(), options_.only.end(), Kind::shuts) != options_.only.end();
+    }
+    milliseconds warmUp() const { return playsSlowStart() ? kSlowStartWarmUp : kWarmUp; }
+
     SenderPlan planOf(std::size_t sender, const Discovery& discovery) {
         SenderPlan plan;
         plan.name = "n" + std::to_string(sender);
@@ -109,7 +120,7 @@
         plan.held = 100;
         plan.sockets = kSockets;
         plan.memoryMb = sender % 2 == 0 ? kLeastMemoryMb : kMostMemoryMb;
-        plan.warmUp = kWarmUp;
+        plan.warmUp = warmUp();
         plan.grades = gradesJson();
         plan.seed = options_.seed + sender;
         return plan;
@@ -119,9 +130,14 @@
         takeAllDescriptors();
         std::filesystem::remove_all(options_.folder);
         std::filesystem::create_directories(options_.folder);
+        SlowStartSettings slowStart;
+        slowStart.capacity = playsSlowStart() ? kSlowStartCapacityEach * static_cast<double>(options_.senders)
+                                              : kAmpleCapacity;
+        slowStart.warmUp = warmUp();
+        if (playsSlowStart()) slowStart.longestCall = kSlowStartCall;
         for (std::size_t i = 0; i < kPartners; ++i) {
             partners_.push_back(
-                std::make_unique<Partner>(i, host(), switches_, oracle_, options_.seed * 100 + i));
+                std::make_unique<Partner>(i, host(), switches_, oracle_, slowStart, options_.seed * 100 + i));
             for (std::size_t k = 0; k < kEndpointsEach; ++k) endpoints_.push_back(partners_[i]->open());
         }
         const auto killAfterTerm = std::max(kKillAfterTerm, options_.tolerance.stop + kKillAfterStopRule);
@@ -141,7 +157,9 @@
         for (const auto& machine : machines_)
             for (std::size_t k = 0; k < static_cast<std::size_t>(options_.clients); ++k)
                 clients.emplace_back([this, &machine, k] {
-                    Client({options_.seed, k, kPartners}, *machine, oracle_, switches_).run(handing_);
+                    ClientPlan plan{options_.seed, k, kPartners};
+                    if (playsSlowStart()) plan.longestPauseMs = kSlowStartPauseMs;
+                    Client(plan, *machine, oracle_, switches_).run(handing_);
                 });
         return clients;
     }
@@ -254,6 +272,7 @@
         auto& partner = *partners_[t.target];
         if (t.kind == Kind::refuses) partner.refuse(on);
         if (t.kind == Kind::resets && begins) partner.cut();
+        if (t.kind == Kind::shuts && begins) partner.shut(t.span);
         if (t.kind != Kind::drains || !begins) return;
         const auto drained = partner.drainOldest();
         if (!drained) return;
--- a/lab/soak/troubles.cpp
+++ b/lab/soak/troubles.cpp
@@ -46,11 +46,15 @@
     if (kind == Kind::holdUp) return milliseconds(between(chance, 50, 150));
     if (ofProcess(kind)) return milliseconds(between(chance, 50, 900));
     if (kind == Kind::hoarders) return milliseconds(between(chance, 1500, 3000));
+    if (kind == Kind::lateRepeats) return milliseconds(between(chance, 1500, 3000));
+    // No shorter outage is looked for, see kSuspicionSeconds of the module.
+    if (kind == Kind::shuts) return milliseconds(between(chance, 2600, 4000));
     if (kind == Kind::crowd) return milliseconds(between(chance, 4000, 9000));
     return milliseconds(between(chance, 400, 2500));
 }
 
 bool isRestart(Kind kind) { return kind == Kind::stop || kind == Kind::kill || kind == Kind::series; }
+bool isScene(Kind kind) { return kind == Kind::lateRepeats || kind == Kind::shuts; }
 bool isOutage(Kind kind) { return kind == Kind::refuses || kind == Kind::hangs; }
 
 /// Draws troubles of the kinds that are wanted.
@@ -61,10 +65,14 @@
     std::vector<Trouble> all() {
         const auto span = wanted_.span.count();
         const auto parties = static_cast<std::int64_t>(wanted_.senders + wanted_.partners);
-        for (std::int64_t i = 0; i < parties * span / kSpanOfOneMs; ++i) alone();
-        for (std::int64_t i = 0; i < static_cast<std::int64_t>(wanted_.senders) * span / kSpanOfClusterMs;
-             ++i)
-            cluster();
+        if (playsScenes()) {
+            scenes();
+        } else {
+            for (std::int64_t i = 0; i < parties * span / kSpanOfOneMs; ++i) alone();
+            for (std::int64_t i = 0; i < static_cast<std::int64_t>(wanted_.senders) * span / kSpanOfClusterMs;
+                 ++i)
+                cluster();
+        }
         if (wants(Kind::crowd))
             for (std::size_t i = 0; i < wanted_.senders; i += kSendersPerCrowd)
                 add(Kind::crowd, anySender(), anyTime());
@@ -74,6 +82,31 @@
     }
 
   private:
+    bool playsScenes() const { return std::any_of(wanted_.only.begin(), wanted_.only.end(), isScene); }
+
+    /// What only shows where nothing else comes between: each partner is shut once, or each sender's first
+    /// ids come again behind many others; one restart of each sender where restarts are wanted.
+    void scenes() {
+        const auto third = wanted_.span.count() / 3;
+        const auto within = [&](std::int64_t from, std::int64_t to) {
+            return milliseconds(between<std::int64_t>(chance_, from, to));
+        };
+        if (named(Kind::shuts))
+            for (std::size_t i = 0; i < wanted_.partners; ++i) add(Kind::shuts, i, within(third / 2, third));
+        for (std::size_t i = 0; i < wanted_.senders; ++i) {
+            if (named(Kind::lateRepeats)) {
+                add(Kind::lateRepeats, i, within(500, 900), 2);
+                add(Kind::lateRepeats, i, within(2 * third, 2 * third + 500));
+            }
+            const auto at =
+                named(Kind::shuts) ? within(third, 2 * third) : within(2 * third - 900, 2 * third);
+            add(any(isRestart), i, at);
+        }
+    }
+    bool named(Kind kind) const {
+        return std::find(wanted_.only.begin(), wanted_.only.end(), kind) != wanted_.only.end();
+    }
+
     bool wants(Kind kind) const {
         if ((kind == Kind::crowd || kind == Kind::hoarders) && wanted_.seed % kCrowdInRuns != 0 &&
             wanted_.only.empty())
@@ -87,7 +120,8 @@
     std::optional<Kind> any(Which which) {
         std::vector<Kind> some;
         for (int i = 0; i < kKinds; ++i)
-            if (const auto kind = static_cast<Kind>(i); wants(kind) && which(kind)) some.push_back(kind);
+            if (const auto kind = static_cast<Kind>(i); !isScene(kind) && wants(kind) && which(kind))
+                some.push_back(kind);
         if (some.empty()) return {};
         return some[between<std::size_t>(chance_, 0, some.size() - 1)];
     }
@@ -155,11 +189,12 @@
                                                      "copies",        "late-copies",
                                                      "noises",        "closes",
                                                      "full",          "hoarders",
-                                                     "repeats"};
+                                                     "repeats",       "late-repeats",
+                                                     "shuts"};
     return kNames[static_cast<std::size_t>(kind)];
 }
 
-bool ofPartner(Kind kind) { return kind >= Kind::refuses && kind <= Kind::full; }
+bool ofPartner(Kind kind) { return (kind >= Kind::refuses && kind <= Kind::full) || kind == Kind::shuts; }
 
 bool ofProcess(Kind kind) {
     return kind == Kind::stop || kind == Kind::kill || kind == Kind::reload || kind == Kind::holdUp ||
--- a/lab/soak/troubles.hpp
+++ b/lab/soak/troubles.hpp
@@ -48,10 +48,13 @@
     closes,      ///< connections that rest are closed early, whatever is on its way
     full,        ///< 503: the queue is full
     // again a sender's clients
-    hoarders,  ///< a crowd that sends as much as the sender may have to keep; only in some runs
-    repeats    ///< ids come again, during their life and after its end
+    hoarders,     ///< a crowd that sends as much as the sender may have to keep; only in some runs
+    repeats,      ///< ids come again, during their life and after its end
+    lateRepeats,  ///< its clients hand in without pauses, and the first ids come again behind all others
+    // again partners
+    shuts  ///< refused, sometimes told until when; then it comes back cold
 };
-constexpr int kKinds = static_cast<int>(Kind::repeats) + 1;
+constexpr int kKinds = static_cast<int>(Kind::shuts) + 1;
 std::string name(Kind kind);
 
 /// Signals on end, as a deployment or an operator in haste sends them.
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -125,6 +125,16 @@
     testing::Values(Short{51, milliseconds(6000), {Kind::hoarders, Kind::kill, Kind::hangs}},
                     Short{52, milliseconds(6000), {Kind::repeats, Kind::kill, Kind::errors, Kind::full}}));
 
+// Many messages behind those whose ids come again, and a kill: here the program of issue 68 ran unsafe and
+// keyed ones twice.
+INSTANTIATE_TEST_SUITE_P(LateRepeats, ShortSoak,
+                         testing::Values(Short{61, milliseconds(9000), {Kind::lateRepeats, Kind::kill}}));
+
+// Partners that are shut and come back cold: here the program of issue 68 pushed them over.
+INSTANTIATE_TEST_SUITE_P(ColdReturns, ShortSoak,
+                         testing::Values(Short{71, milliseconds(12000), {Kind::shuts}},
+                                         Short{72, milliseconds(12000), {Kind::shuts, Kind::kill}}));
+
 // ---- the troubles ----
 
 TEST(Troubles, OneSeedDrawsTheSame) {
