Look an id up in sealed segments only if one bit says that it may be there

Change: a filter of 256 KB over the fingerprints in segments, made anew when a segment is dropped; an end looks nothing up but while a restart reads its records.

--- a/src/store/ended_ids.cpp
+++ b/src/store/ended_ids.cpp
@@ -66,13 +66,16 @@
     return readLittleEndian(bytes_, bucket * kCountBytes, kCountBytes);
 }
 
+EndedId EndedIdSegment::entryAt(std::uint64_t bucket, std::size_t position) const {
+    const auto entry = readLittleEndian(bytes_, kBuckets * kCountBytes + position * kEntryBytes, kEntryBytes);
+    return EndedId(bucket << (kSuffixBits + EndedId::kDetailBits) | entry);
+}
+
 std::optional<EndedId> EndedIdSegment::find(std::uint64_t fingerprint) const {
     const std::uint64_t bucket = fingerprint >> kSuffixBits;
     const std::size_t begin = bucket == 0 ? 0 : bucketEnd(bucket - 1);
     for (std::size_t i = bucketEnd(bucket); i > begin; --i) {
-        const auto entry =
-            readLittleEndian(bytes_, kBuckets * kCountBytes + (i - 1) * kEntryBytes, kEntryBytes);
-        const EndedId found(bucket << (kSuffixBits + EndedId::kDetailBits) | entry);
+        const auto found = entryAt(bucket, i - 1);
         if (found.fingerprint() == fingerprint) return found;
     }
     return {};
@@ -96,18 +99,36 @@
 }
 
 std::optional<EndedId> EndedIds::findSealed(std::uint64_t fingerprint) const {
+    if (!sealed_.mayContain(fingerprint)) return {};
     for (auto segment = segments_.rbegin(); segment != segments_.rend(); ++segment)
         if (const auto found = segment->find(fingerprint)) return found;
     return {};
 }
 
+void EndedIds::addToFilter(const EndedIdSegment& segment) {
+    segment.forEachFingerprint([this](std::uint64_t fingerprint) { sealed_.add(fingerprint); });
+}
+
+void EndedIds::addSegment(EndedIdSegment segment) {
+    if (segments_.empty()) sealed_.reset();
+    addToFilter(segment);
+    segments_.push_back(std::move(segment));
+}
+
+/// A filter forgets nothing, so it is made anew.
+void EndedIds::dropOldestSegment() {
+    segments_.pop_front();
+    sealed_.reset();
+    for (const auto& segment : segments_) addToFilter(segment);
+}
+
 EndedIdSegment EndedIds::seal() const {
     const auto end = recent_.begin() + static_cast<std::ptrdiff_t>(EndedIdSegment::kEntries);
     return EndedIdSegment(std::vector<EndedId>(recent_.begin(), end));
 }
 
 void EndedIds::keep(EndedIdSegment segment) {
-    segments_.push_back(std::move(segment));
+    addSegment(std::move(segment));
     recent_.erase(recent_.begin(), recent_.begin() + static_cast<std::ptrdiff_t>(EndedIdSegment::kEntries));
 }
 
--- a/src/store/ended_ids.hpp
+++ b/src/store/ended_ids.hpp
@@ -56,6 +56,13 @@
     static std::optional<EndedIdSegment> fromBytes(std::string bytes);
     const std::string& bytes() const { return bytes_; }
     std::optional<EndedId> find(std::uint64_t fingerprint) const;
+    /// Calls `handle` with each fingerprint.
+    template <class Handle>
+    void forEachFingerprint(Handle handle) const {
+        std::size_t i = 0;
+        for (std::uint64_t bucket = 0; bucket < kBuckets; ++bucket)
+            for (const auto end = bucketEnd(bucket); i < end; ++i) handle(entryAt(bucket, i).fingerprint());
+    }
 
   private:
     static constexpr int kBucketBits = 8;
@@ -68,10 +75,27 @@
     explicit EndedIdSegment(std::string bytes) : bytes_(std::move(bytes)) {}
     /// Where the entries of the bucket end, counted in entries.
     std::size_t bucketEnd(std::size_t bucket) const;
+    EndedId entryAt(std::uint64_t bucket, std::size_t position) const;
 
     std::string bytes_;
 };
 
+/// Tells of most fingerprints that are in no segment that they are in none, by one look at a bit.
+class FingerprintFilter {
+  public:
+    void add(std::uint64_t fingerprint) { bits_[position(fingerprint)] = true; }
+    bool mayContain(std::uint64_t fingerprint) const {
+        return !bits_.empty() && bits_[position(fingerprint)];
+    }
+    /// Takes its memory, for use with segments.
+    void reset() { bits_.assign(kBits, false); }
+
+  private:
+    static constexpr std::size_t kBits = std::size_t{1} << 21;  // 256 KB, and six for each id of a full table
+    static std::size_t position(std::uint64_t fingerprint) { return fingerprint % kBits; }
+    std::vector<bool> bits_;
+};
+
 /// All that are remembered.
 class EndedIds {
   public:
@@ -94,17 +118,20 @@
     /// Takes the segment that seal() returned, which replaces those recent entries.
     void keep(EndedIdSegment segment);
     /// Takes a segment of an earlier run. Segments come in the order in which they were sealed.
-    void restore(EndedIdSegment segment) { segments_.push_back(std::move(segment)); }
+    void restore(EndedIdSegment segment) { addSegment(std::move(segment)); }
     std::size_t segments() const { return segments_.size(); }
     std::size_t maxSegments() const { return maxSegments_; }
-    void dropOldestSegment() { segments_.pop_front(); }
+    void dropOldestSegment();
 
   private:
     std::optional<EndedId> findSealed(std::uint64_t fingerprint) const;
+    void addSegment(EndedIdSegment segment);
+    void addToFilter(const EndedIdSegment& segment);
 
     std::size_t maxSegments_, maxRecent_;
     std::vector<EndedId> recent_;
     std::deque<EndedIdSegment> segments_;  // oldest first
+    FingerprintFilter sealed_;
 };
 
 }  // namespace laurelhaven::store
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -131,6 +131,7 @@
 
 RecoveredState Journal::recover() {
     loadEndedIds();
+    recovering_ = true;
     std::string text;
     retryWhileFailing(path_, [&] {
         if (!file_) return true;
@@ -155,6 +156,7 @@
     // Positions refer to the present configuration, so rewrite them as names before the next start.
     if (hasLegacyPositions_) compact();
     dropUnendedFinished();
+    recovering_ = false;
     // The outcomes of attempts that were open when the previous run ended are lost, so these may have run.
     for (auto& live : liveRecords_) live.message.attempts.closeAsMayHaveRun();
     RecoveredState found;
@@ -416,11 +418,11 @@
     remember(std::move(finished));
 }
 
-/// What may be repeated at any time needs no fingerprint. A record that is read again has its own already.
+/// What may be repeated at any time needs no fingerprint. A record that a restart reads may have its own.
 void Journal::remember(FinishedMessage finished) {
     const bool mayBeRepeated = finished.effect == 0;
-    if (!mayBeRepeated && !endedIds_.find(finished.id))
-        endedIds_.add(EndedId(finished.id, finished.end, finished.contentDigest));
+    const bool known = recovering_ && endedIds_.find(finished.id);
+    if (!mayBeRepeated && !known) endedIds_.add(EndedId(finished.id, finished.end, finished.contentDigest));
     finished_.add(std::move(finished));
 }
 
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -124,6 +124,7 @@
     LiveRecords liveRecords_;  // in the order in which they were accepted or ended
     std::unordered_map<std::string, LiveRecords::iterator> liveById_;
     FinishedMessages finished_;
+    bool recovering_ = false;  // records of an earlier run are applied
     EndedIds endedIds_;
     EndedIdFiles endedIdFiles_;
 };
