--- a/tests/program/cold_return_test.cpp
+++ b/tests/program/cold_return_test.cpp
@@ -23,8 +23,9 @@
 enum class Sign { shortWait, longWait, noWait, connectRefused, reset, hang, error };
 constexpr std::array kSigns{Sign::shortWait, Sign::longWait, Sign::noWait, Sign::connectRefused,
                             Sign::reset,     Sign::hang,     Sign::error};
-enum class Between { nothing, killed, terminated };
-constexpr std::array kBetween{Between::nothing, Between::killed, Between::terminated};
+enum class Between { nothing, killed, terminated, reloaded, killedWithoutDiscovery };
+constexpr std::array kBetween{Between::nothing, Between::killed, Between::terminated, Between::reloaded,
+                              Between::killedWithoutDiscovery};
 
 struct Cell {
     Sign sign;
@@ -33,7 +34,7 @@
 std::string name(const Cell& cell) {
     constexpr std::array kSignNames{"ShortWait", "LongWait", "NoWait", "ConnectRefused",
                                     "Reset",     "Hang",     "Error"};
-    constexpr std::array kBetweenNames{"", "Killed", "Terminated"};
+    constexpr std::array kBetweenNames{"", "Killed", "Terminated", "Reloaded", "KilledWithoutDiscovery"};
     return std::string(kSignNames[static_cast<std::size_t>(cell.sign)]) +
            kBetweenNames[static_cast<std::size_t>(cell.between)];
 }
@@ -154,6 +155,20 @@
         program_ = startWithSettings(folder_.path, platform_, platform_.stub.at(),
                                      entry("a", endpoint_.address(), 7), text);
     }
+    /// What comes between the sign and the return.
+    void interfere() {
+        const auto restart = [this](int signal) {
+            program_->end(signal);
+            program_->start();
+        };
+        switch (GetParam().between) {
+            case Between::nothing: return;
+            case Between::killed: return restart(SIGKILL);
+            case Between::terminated: return restart(SIGTERM);
+            case Between::reloaded: kill(program_->pid(), SIGHUP); return;
+            case Between::killedWithoutDiscovery: platform_.watch.clear(); return restart(SIGKILL);
+        }
+    }
     void submit(int from, int count) {
         const auto connection = program_->connection();
         for (int i = from; i < from + count; ++i)
@@ -183,10 +198,7 @@
                            [&] { return metric(*program_, "calls_total{ending=\"no_connection\"}") > 0; }));
     else ASSERT_TRUE(within(milliseconds(2000), [&] { return endpoint_.failures() > 0; }));
     std::this_thread::sleep_until(failedAt + kOutage);  // the length of the outage is the case
-    if (GetParam().between != Between::nothing) {
-        program_->end(GetParam().between == Between::killed ? SIGKILL : SIGTERM);
-        program_->start();
-    }
+    interfere();
     const auto returnedAt = net::Steady::now();
     endpoint_.recover();
     submit(100, kClump);
