Start though a file of ended ids can't be read, and keep to a disk limit that was lowered

Change: after the retries of a start such a file is dropped, with a line in the log; surplus files go, the oldest first. The roster's flags of a failure have a name.

--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -602,15 +602,14 @@
         {
             std::unique_lock lock(outcomesMutex_);
             if (next == Steady::time_point::max()) next = Steady::now() + std::chrono::hours(1);
-            wake_.wait_until(lock, stopped, next, [&] {
-                return urgent_ || failureSeen_ > failureScheduled_ || !outcomes_.empty();
-            });
+            wake_.wait_until(lock, stopped, next,
+                             [&] { return urgent_ || isFailureUnscheduled() || !outcomes_.empty(); });
             // Deliveries are collected for a while; urgent outcomes and due work are not delayed.
-            if (!urgent_ && failureSeen_ == failureScheduled_ && !outcomes_.empty())
+            if (!urgent_ && !isFailureUnscheduled() && !outcomes_.empty())
                 wake_.wait_until(lock, stopped, std::min(next, Steady::now() + kOutcomeBatchTime),
-                                 [&] { return urgent_ || failureSeen_ > failureScheduled_; });
+                                 [&] { return urgent_ || isFailureUnscheduled(); });
             urgent_ = false;
-            failed = failureSeen_ > failureScheduled_;
+            failed = isFailureUnscheduled();
             failureScheduled_ = failureSeen_;
             outcomes.swap(outcomes_);
         }
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -140,6 +140,7 @@
     // Attempts failed since the last write, so what is known of health may differ; a write is scheduled for
     // it.
     bool failureSeen_ = false, failureScheduled_ = false;
+    bool isFailureUnscheduled() const { return failureSeen_ && !failureScheduled_; }
     std::stop_source stop_;
     threads::Thread thread_;
 };
--- a/src/store/ended_id_files.cpp
+++ b/src/store/ended_id_files.cpp
@@ -70,19 +70,29 @@
     return !error;
 }
 
-bool EndedIdFiles::load(std::vector<EndedIdSegment>& segments) {
+/// The content of a file; nothing, with errno set, if it can't be read.
+std::optional<std::string> EndedIdFiles::read(std::uint64_t number) const {
+    const auto file = openFile(path(number), O_RDONLY);
+    if (!file) return {};
+    auto result = readAll(file.get(), kFileSize + 1);
+    if (!result.complete) return {};
+    return std::move(result.text);
+}
+
+bool EndedIdFiles::load(std::vector<EndedIdSegment>& segments, Unreadable unreadable) {
+    const bool skips = unreadable == Unreadable::skip;
     segments.clear();
-    if (!listNumbers()) return false;
+    if (!listNumbers() && !skips) return false;
     std::deque<std::uint64_t> good;
     for (const auto number : numbers_) {
-        const auto file = openFile(path(number), O_RDONLY);
-        if (!file) return false;
-        const auto read = readAll(file.get(), kFileSize + 1);
-        if (!read.complete) return false;
-        const auto payload = decodeFirstFrame(read.text, kSegmentMagic, EndedIdSegment::kBytes);
+        const auto text = read(number);
+        if (!text && !skips) return false;
+        const auto payload =
+            text ? decodeFirstFrame(*text, kSegmentMagic, EndedIdSegment::kBytes) : std::string_view();
         auto segment = EndedIdSegment::fromBytes(std::string(payload));
         if (!segment) {
-            log::error() << "ended ids: removed the damaged file " << path(number);
+            log::error() << "ended ids: dropped the file " << path(number) << ", which is "
+                         << (text ? "damaged" : "unreadable");
             unlink(path(number).c_str());
             continue;
         }
--- a/src/store/ended_id_files.hpp
+++ b/src/store/ended_id_files.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,12 @@
 
     explicit EndedIdFiles(std::string folder) : folder_(std::move(folder)) {}
 
-    /// Reads all files, oldest first. A damaged one is logged and removed. Returns false with errno set if
-    /// the folder or a file can't be read now: then `segments` is incomplete, and the call may be repeated.
-    bool load(std::vector<EndedIdSegment>& segments);
+    /// What load() does with a file that can't be read now.
+    enum class Unreadable { stop, skip };
+    /// Reads all files, oldest first. A damaged one is logged and removed, and so is an unreadable one that
+    /// is to be skipped. Otherwise it returns false with errno set: then `segments` is incomplete, and the
+    /// call may be repeated.
+    bool load(std::vector<EndedIdSegment>& segments, Unreadable unreadable = Unreadable::stop);
     /// Returns false with errno set if the segment could not be written; then nothing has changed.
     bool write(const EndedIdSegment& segment);
     /// Returns false with errno set if the file could not be removed.
@@ -30,6 +34,7 @@
     std::uint64_t diskBytes() const { return numbers_.size() * kFileBytes; }
 
   private:
+    std::optional<std::string> read(std::uint64_t number) const;
     std::string path(std::uint64_t number) const;
     bool listNumbers();
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -125,8 +125,19 @@
 
 void Journal::loadEndedIds() {
     std::vector<EndedIdSegment> segments;
-    retryWhileFailing(path_, [&] { return endedIdFiles_.load(segments); });
-    for (auto& segment : segments) endedIds_.restore(std::move(segment));
+    try {
+        retryWhileFailing(path_, [&] { return endedIdFiles_.load(segments); });
+    } catch (const std::system_error& error) {
+        // The messages that are owed an end weigh more than ids that may come again.
+        log::error() << "journal: some ended ids can't be read: " << error.what();
+        endedIdFiles_.load(segments, EndedIdFiles::Unreadable::skip);
+    }
+    // The disk limit may have been lowered since they were written.
+    std::size_t surplus = segments.size() - std::min(segments.size(), endedIds_.maxSegments());
+    for (auto& segment : segments) {
+        if (surplus > 0 && endedIdFiles_.removeOldest()) --surplus;
+        else endedIds_.restore(std::move(segment));
+    }
 }
 
 RecoveredState Journal::recover() {
--- a/tests/store/ended_ids_in_journal_test.cpp
+++ b/tests/store/ended_ids_in_journal_test.cpp
@@ -227,6 +227,17 @@
     EXPECT_EQ(unknown(kSegment + 2000), 0u);
 }
 
+// Messages that are owed an end weigh more than ids that may come again.
+TEST_F(EndedIdsInJournal, StartsThoughAFileOfIdsCannotBeRead) {
+    deliverRange(0, kSegment + 2000);
+    ASSERT_TRUE(journal_->accept(message("owed", kUnsafe)));
+    journal_.reset();
+    std::filesystem::create_directory(folder_.path + "/ended-0.ids");  // reading it fails
+    open();
+    EXPECT_EQ(unknown(kSegment + 2000), 0u) << "the other files are read";
+    ASSERT_EQ(recovered_.messages.size(), 1u);
+}
+
 // ---- the disk limit ----
 
 TEST_F(EndedIdsInJournal, KeepsWithinALittleDiskAndForgetsTheOldestFirst) {
@@ -246,6 +257,17 @@
         ASSERT_TRUE(knows("m" + std::to_string(number))) << number;
 }
 
+TEST_F(EndedIdsInJournal, KeepsToADiskLimitThatWasLowered) {
+    deliverRange(0, 6 * kSegment);
+    ASSERT_GE(segmentFiles(), 5u);
+    constexpr std::uint64_t kLowered = 250'000;
+    open(kLowered);
+    for (std::size_t number = 0; number < 1000; ++number)
+        ASSERT_TRUE(deliver("n" + std::to_string(number))) << number;
+    EXPECT_LE(diskUsage(), kLowered);
+    EXPECT_TRUE(knows("m" + std::to_string(6 * kSegment - 1)));
+}
+
 // A sender with hardly any disk serves on.
 TEST_F(EndedIdsInJournal, ServesWithTheLeastDiskThatIsConfigurable) {
     open(65536);
