Let a draw of all kinds of trouble have the two new ones, drawn last

Change: one of each, drawn behind all others, so that the rest of a seed's draw stays as it was. The test is as it was.

--- a/lab/soak/troubles.cpp
+++ b/lab/soak/troubles.cpp
@@ -76,6 +76,11 @@
         if (wants(Kind::crowd))
             for (std::size_t i = 0; i < wanted_.senders; i += kSendersPerCrowd)
                 add(Kind::crowd, anySender(), anyTime());
+        // Drawn last, so that one seed draws all other kinds as it did without these.
+        if (wanted_.only.empty()) {
+            add(Kind::lateRepeats, anySender(), anyTime());
+            add(Kind::shuts, anyPartner(), anyTime());
+        }
         std::stable_sort(all_.begin(), all_.end(),
                          [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
         return std::move(all_);
