Make a route unconfirmed, and begin one, in one place each

Change: the event calls limitUntilConfirmed(), initialize() begins a route, wants() calls named(). Behaviour stays: the random draws come in the same order.

--- a/lab/soak/slow_start.hpp
+++ b/lab/soak/slow_start.hpp
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <deque>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <string>
 
--- a/lab/soak/troubles.cpp
+++ b/lab/soak/troubles.cpp
@@ -116,8 +116,7 @@
         if ((kind == Kind::crowd || kind == Kind::hoarders) && wanted_.seed % kCrowdInRuns != 0 &&
             wanted_.only.empty())
             return false;
-        return wanted_.only.empty() ||
-               std::find(wanted_.only.begin(), wanted_.only.end(), kind) != wanted_.only.end();
+        return wanted_.only.empty() || named(kind);
     }
 
     /// Any of those kinds that is wanted; nothing where none is.
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -142,9 +142,8 @@
             route.recoveredAt = std::max(route.recoveredAt, now_ - toSeconds(*health.sinceRecovery));
         if (health.unconfirmed && !route.unconfirmed) {
             // Random, so that senders that restart together do not make their first attempts together.
-            route.firstDeliveryAt = kNever;
-            route.unconfirmedTokensAt = now_;
-            route.unconfirmedTokens = health.probed ? 1 : settings_.senders > 1 ? random_.uniform() : 1;
+            const bool spread = !health.probed && settings_.senders > 1;
+            rateControl_.limitUntilConfirmed(route, spread ? random_.uniform() : 1, now_);
         }
         if (health.probed) route.unconfirmedTokens -= 1;
         // Once attempts have been limited, the limit stays until the destination has had time to warm up, as
@@ -216,8 +215,7 @@
             endpoint.kind = entry.kind;
             if (entry.kind >= 0 && entry.kind < static_cast<int>(settings_.kinds.size()))
                 endpoint.separateRoute = settings_.kinds[entry.kind].separateRoutes;
-            endpoint.route.window = maxWindow();
-            endpoint.route.deliveredAt = now_;
+            initialize(endpoint.route);
             destinationEntry(entry.destination).endpoints.push_back(&endpoint);
         }
         if (settings_.weights != Weights::none && entry.weight > 0)
@@ -751,12 +749,13 @@
     double backoffFraction() { return kBackoffMinFraction + (1 - kBackoffMinFraction) * random_.uniform(); }
     DestinationEntry& destinationEntry(DestinationId id) {
         auto [it, fresh] = destinations_.try_emplace(id);
-        if (fresh) {
-            it->second.route.window = maxWindow();
-            it->second.route.deliveredAt = now_;
-        }
+        if (fresh) initialize(it->second.route);
         return it->second;
     }
+    void initialize(RouteState& route) const {
+        route.window = maxWindow();
+        route.deliveredAt = now_;
+    }
     RouteState& routeOf(EndpointEntry& endpoint) {
         return endpoint.separateRoute ? endpoint.route : destinationEntry(endpoint.destinationId).route;
     }
--- a/src/store/ended_id_files.cpp
+++ b/src/store/ended_id_files.cpp
@@ -6,9 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
-#include <cstdio>
 #include <filesystem>
-#include <optional>
 #include <string_view>
 #include <system_error>
 #include <utility>
