Send to a saved address only once discovery or a report has proven its server

A sender started while discovery was silent, probed the addresses of its saved list, had 200 from whoever listened there, and sent.

Cause: a probe's 200 (or 404) made an entry usable (Roster::probeEndpoint, trust::assess), though it names no server; where probes weren't permitted, or didn't fit a large fleet, the entry was used without any.

A probe is sent only where its answer may prove something. A rejection without a reason takes such a proof back until discovery speaks, since a report doesn't tell that an endpoint drains. Messages wait meanwhile; they cost no attempt, and end at their deadline if discovery stays silent. After a hold of 2.2 s or more a destination is unconfirmed, so its backlog is released by what it delivers. Where nothing has changed since the saved list, discovery would be heard only after its heartbeat; the first watch of a run asks from one index lower, so it answers at once. The probe itself has moved to roster/endpoint_probe.

Program: a platform that was told nothing names its entries, as tests of other things need proven endpoints.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -118,6 +118,7 @@
     Entry& created = findOrCreate(entry.endpoint);
     created = std::move(entry);
     created.listedNow = created.answeredThisRun = created.listedThisRun = false;
+    created.deliveredThisRun = created.awaitsDiscovery = false;
     if (created.isTombstone()) {
         --presentCount_;
         ++tombstoneCount_;
@@ -208,7 +209,7 @@
     if (isNew) entry.firstListedAt = now;
     const bool restarted = !isNew && entry.endpoint.startedAtMs != listed.startedAtMs && serving;
     // Those answers came from another process.
-    if (moved || restarted) entry.answeredThisRun = entry.listedThisRun = false;
+    if (moved || restarted) entry.answeredThisRun = entry.listedThisRun = entry.deliveredThisRun = false;
     if (moved) {
         changesSinceUpdate_ += 1;
         releaseAddress(entry);
@@ -337,7 +338,10 @@
     Entry* entry = find(endpoint);
     if (!entry || entry->isTombstone()) return;
     entry->answeredThisRun = true;
-    if (by == ConfirmationSource::delivery) entry->deliveries += count;
+    if (by == ConfirmationSource::delivery) {
+        entry->deliveredThisRun = true;
+        entry->deliveries += count;
+    }
     if (now < entry->confirmedAt) return;
     entry->confirmedAt = now;
     entry->confirmedBy = by;
@@ -351,6 +355,18 @@
     return true;
 }
 
+bool Membership::withdrawProof(const std::string& endpoint) {
+    Entry* entry = find(endpoint);
+    if (!entry || !entry->answeredThisRun || entry->listedThisRun || entry->deliveredThisRun) return false;
+    entry->answeredThisRun = false;
+    entry->awaitsDiscovery = true;
+    return true;
+}
+
+void Membership::expectNoProof(const std::string& endpoint) {
+    if (Entry* entry = find(endpoint)) entry->awaitsDiscovery = true;
+}
+
 std::vector<std::string> Membership::expire(RecordMs now) {
     std::vector<std::string> touched;
     for (const auto& entry : entries_) {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -49,12 +49,15 @@
     double deliveries = 0;     ///< messages it accepted; halved at each start
     trust::ConfirmationSource confirmedBy = trust::ConfirmationSource::configuration;
     trust::RefutationReason refutation = trust::RefutationReason::none;
-    bool listedNow = false;        ///< discovery listed or confirmed it on the present stream
-    bool answeredThisRun = false;  ///< it accepted a message or answered a probe in this process run
-    bool listedThisRun = false;    ///< discovery listed it in this process run
-    bool suspended = false;        ///< left out by a suspiciously small list; gets no messages
+    bool listedNow = false;         ///< discovery listed or confirmed it on the present stream
+    bool answeredThisRun = false;   ///< see trust::Evidence
+    bool deliveredThisRun = false;  ///< it accepted a message in this process run
+    bool awaitsDiscovery = false;   ///< no answer can prove it in this process run, only discovery
+    bool listedThisRun = false;     ///< discovery listed it in this process run
+    bool suspended = false;         ///< left out by a suspiciously small list; gets no messages
     trust::TrustLevel trustLevel = trust::TrustLevel::refuted;  ///< as last assessed; set by the roster
-    bool probeFirst = false;  ///< as last assessed: no message before a probe; set by the roster
+    bool probeFirst = false;  ///< as last assessed: no message before a probe or proof; set by the roster
+    bool needsProof = false;  ///< as last assessed: no message before a proof; set by the roster
     /// True if the endpoint left service; suspended endpoints have not.
     bool isTombstone() const { return refutation != trust::RefutationReason::none && !suspended; }
 };
@@ -110,6 +113,12 @@
     /// The server at the address turned out not to be the endpoint. Ignored, returning false, while discovery
     /// lists the endpoint.
     bool refuteByAnswer(const std::string& endpoint, trust::RefutationReason reason, RecordMs now);
+    /// The endpoint's answer contradicts a proof that was not discovery's, so only discovery can prove it
+    /// from now on. Ignored, returning false, if discovery has named it in this process run, or if it has
+    /// accepted a message.
+    bool withdrawProof(const std::string& endpoint);
+    /// The endpoint answers without a report, so no answer can prove it in this process run.
+    void expectNoProof(const std::string& endpoint);
     /// Turns expired suspensions into tombstones and deletes expired tombstones. Returns the changed
     /// endpoints.
     std::vector<std::string> expire(RecordMs now);
@@ -129,6 +138,8 @@
     std::uint64_t epoch() const { return epoch_; }
     const trust::Churn& churn() const { return churn_; }
     bool discoveryLive() const { return discoveryLive_; }
+    /// A list from discovery was merged in this process run.
+    bool listReceived() const { return listReceived_; }
     RecordMs discoverySeenAt() const { return discoverySeenAt_; }
 
   private:
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -260,7 +260,7 @@
     const auto shut = [raw] { net::shutdownBoth(raw); };
     const std::stop_callback whenStopped(stopped, shut), whenMoved(location.moved, shut);
     if (!net::finishConnect(raw, net::Steady::now() + kConnectTimeout)) return WatchResult::failed;
-    const auto target = "/registry/instances?watch=1&after=" + std::to_string(roster_.index());
+    const auto target = "/registry/instances?watch=1&after=" + std::to_string(roster_.watchAfter());
     const auto request = http::formatRequest("GET", target, location.address.text, {}, {});
     if (net::sendAll(raw, request, net::Steady::now() + kConnectTimeout) != net::IoResult::done)
         return WatchResult::failed;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -4,9 +4,8 @@
 #include <cmath>
 #include <utility>
 
-#include "http/message.hpp"
 #include "log/log.hpp"
-#include "net/socket.hpp"
+#include "metrics/metrics.hpp"
 
 namespace laurelhaven::roster {
 namespace {
@@ -20,8 +19,9 @@
 constexpr milliseconds kMinReassessInterval{1000};  // between reassessments because of age
 constexpr milliseconds kWarmUpStartTolerance{500};  // smaller changes of a warm-up's start are not saved
 constexpr milliseconds kWriteRetryPause{100};       // after a failed write
+constexpr milliseconds kLongHold{2200};             // no outage is shorter
+constexpr double kAmpleAllowance = 0.5;             // unused share of a rate limit that was not reached
 constexpr double kTrafficDecay = 0.5;               // of the earlier deliveries, at each start
-constexpr std::size_t kMaxProbeResponseBytes = 16 * 1024;
 
 /// The endpoint as it is published to the facade. One that must not be used now is draining or deleted there.
 listing::Endpoint endpointToPublish(const membership::Entry& entry) {
@@ -35,6 +35,12 @@
     return published;
 }
 
+/// A rejection that neither a wait nor a used-up limit explains: the endpoint may be draining.
+bool refusesWithoutReason(const decisions::AttemptResult& result) {
+    return result.status == decisions::AttemptStatus::rejected && result.wait.count() <= 0 &&
+           result.allowanceLeft.value_or(1) > kAmpleAllowance;
+}
+
 bool usable(const membership::Entry& entry) {
     return entry.refutation == RefutationReason::none && !entry.probeFirst &&
            (entry.trustLevel == TrustLevel::confirmed || entry.trustLevel == TrustLevel::ageing);
@@ -108,6 +114,8 @@
         reassess(*entry, now, changes);
         destinations.insert(entry->endpoint.destination);
     }
+    begunAt_ = Steady::now();
+    heldDestinations_ = destinations;
     changes.clear();
     for (const auto& entry : list_.entries())
         if (const auto published = endpointToPublish(*entry); published.status != listing::Status::deleted)
@@ -121,6 +129,7 @@
         (log::info() << "endpoint list: loaded")
             .kv("entries", list_.entries().size())
             .kv("stale", awaitingProbe_.size())
+            .kv("unproven", unprovenCount())
             .kv("gone", list_.tombstoneCount())
             .kv("half_life", trust::formatDuration(list_.halfLife()));
 }
@@ -150,18 +159,19 @@
     const auto statusBefore = endpointToPublish(entry).status;
     entry.trustLevel = assessment.level;
     entry.probeFirst = assessment.probeFirst;
+    if (std::exchange(entry.needsProof, assessment.needsProof) && !assessment.needsProof)
+        metrics::counter("endpoint_proofs_total", "by", entry.listedThisRun ? "discovery" : "report").add();
     if (assessment.validUntil > 0)
         reassessAt_ = std::min(
             reassessAt_,
             Steady::now() + std::max(kMinReassessInterval, milliseconds(assessment.validUntil - now)));
-    if (assessment.probeFirst && entry.refutation == RefutationReason::none)
-        awaitingProbe_.insert(entry.endpoint.name);
+    if (probeMayHelp(entry)) awaitingProbe_.insert(entry.endpoint.name);
     else awaitingProbe_.erase(entry.endpoint.name);
     if (endpointToPublish(entry).status != statusBefore) changes.push_back(endpointToPublish(entry));
 }
 
 /// Collects the destinations that become unconfirmed or confirmed. A destination is unconfirmed while none of
-/// its usable endpoints is confirmed, and after a long absence, in which changes of its state went unseen.
+/// its usable endpoints is confirmed, and after a long gap, in which changes of its state went unseen.
 /// The decision module drops the mark early only while no attempt was made under it. Otherwise a confirmation
 /// of an address, which says nothing about health, would release the whole backlog at once.
 void Roster::updateUnconfirmed(const std::unordered_set<std::uint64_t>& destinations,
@@ -175,7 +185,11 @@
                 confirmed || (usable(*entry) && entry->trustLevel == TrustLevel::confirmed &&
                               (list_.discoveryLive() || entry->confirmedBy != ConfirmationSource::probe));
         }
-        const bool unconfirmed = usableExists && (!confirmed || (longAbsence_ && !begun_));
+        const bool unconfirmed = usableExists && !confirmed;
+        if (usableExists && isFirstUseAfterLongGap(destination)) {
+            changes.push_back({destination, false, {}, 0, true, false});
+            continue;
+        }
         if (unconfirmed && unconfirmed_.insert(destination).second) {
             changes.push_back({destination, false, {}, 0, true, false});
         } else if (usableExists && list_.discoveryLive() && confirmed && !longAbsence_ &&
@@ -185,6 +199,16 @@
     }
 }
 
+/// Whether the destination can be used for the first time in this process run, after a time in which it may
+/// have had an outage that nobody saw. Its backlog must not be released at once: it stays unconfirmed until
+/// its deliveries have raised the limit, however its address was proven.
+bool Roster::isFirstUseAfterLongGap(std::uint64_t destination) {
+    if (heldDestinations_.erase(destination) == 0) return false;
+    const double rateLimit = list_.endpointsOf(destination).front()->endpoint.weight;
+    const bool heldLong = Steady::now() - begunAt_ >= kLongHold;
+    return longAbsence_ || (heldLong && trust::firstRequestsFit(options_.membership.trust, rateLimit));
+}
+
 /// Publishes changed endpoints to the facade. Unconfirmed destinations go first, so that a new endpoint is
 /// not used at full pace.
 void Roster::publish(const std::unordered_set<std::uint64_t>& destinations,
@@ -213,6 +237,7 @@
 }
 
 void Roster::reassessEndpoints(const std::vector<std::string>& endpoints, RecordMs now) {
+    if (!endpoints.empty()) listedLimits_.reset();
     std::vector<listing::Endpoint> changes;
     std::unordered_set<std::uint64_t> destinations;
     for (const auto& name : endpoints) {
@@ -250,6 +275,10 @@
 membership::ListUpdateResult Roster::merge(const listing::EndpointList& list) {
     const auto now = recordClock_.now();
     auto result = list_.applyUpdate(list, now);
+    if (list_.listReceived() && !listReceived_.exchange(true))
+        (log::info() << "endpoint list: discovery has named the endpoints for the first time in this run")
+            .kv("after_ms", (Steady::now() - begunAt_) / milliseconds(1))
+            .kv("unproven_before", unprovenCount());
     using Kind = membership::ListUpdateResult::Kind;
     if (result.kind == Kind::lostHistory)
         log::warning() << "registry: the list's index fell to " << list.index
@@ -299,18 +328,28 @@
     return list_.index();
 }
 
+// Where nothing has changed since the saved list, discovery would say nothing for as long as its heartbeat
+// takes, and until it speaks no endpoint is proven.
+std::uint64_t Roster::watchAfter() const {
+    const std::lock_guard lock(listMutex_);
+    const bool answersAtOnce = list_.listReceived() || list_.index() == 0;
+    return answersAtOnce ? list_.index() : list_.index() - 1;
+}
+
 // ---- calls of the facade ----
 
 void Roster::attemptFinished(const decisions::DueAttempt& attempt, const decisions::AttemptResult& result) {
     const bool delivered = result.status == decisions::AttemptStatus::delivered;
     const std::lock_guard lock(outcomesMutex_);
     if (!delivered && !std::exchange(failureSeen_, true)) wake_.notify_all();
-    if (!delivered && !result.unexpectedServer) return;
+    const bool turnedAway = !listReceived_ && refusesWithoutReason(result);
+    if (!delivered && !result.unexpectedServer && !turnedAway) return;
     const bool first = outcomes_.empty();
     auto& outcomes = outcomes_[attempt.endpoint];  // bounded by the number of endpoints in use
-    if (outcomes.address != attempt.address) outcomes = {attempt.address, 0, false};
+    if (outcomes.address != attempt.address) outcomes = {attempt.address, 0, false, false};
     outcomes.delivered += delivered;
     if (result.unexpectedServer && !outcomes.unexpectedServer) outcomes.unexpectedServer = urgent_ = true;
+    if (turnedAway && !outcomes.turnedAway) outcomes.turnedAway = urgent_ = true;
     if (first || urgent_) wake_.notify_all();
 }
 
@@ -333,6 +372,13 @@
             list_.recordAnswer(endpoint, ConfirmationSource::delivery, now, outcome.delivered);
             if (first && !list_.discoveryLive()) touched.push_back(endpoint);
         }
+        if (outcome.turnedAway && list_.withdrawProof(endpoint)) {
+            (log::info()
+             << "endpoint list: an endpoint that only its report proved turns messages away; it is "
+                "not used until discovery names it")
+                .kv("endpoint", endpoint);
+            touched.push_back(endpoint);
+        }
         if (outcome.unexpectedServer &&
             list_.refuteByAnswer(endpoint, RefutationReason::unexpectedServer, now)) {
             (log::warning() << "endpoint list: an unexpected server answers at this endpoint; it is not used "
@@ -374,85 +420,93 @@
 
 void Roster::probeEndpoint(const std::string& endpoint) {
     std::string address;
-    double weight = 0;
+    const membership::Entry* entry = nullptr;
     {
         const std::lock_guard lock(listMutex_);
-        const auto* entry = list_.find(endpoint);
+        entry = list_.find(endpoint);
         if (!entry || !entry->probeFirst) return;
         address = entry->endpoint.address;
-        weight = entry->endpoint.weight;
-    }
-    int status = 0;
-    bool unexpectedServer = false;
-    const auto deadline = net::Steady::now() + options_.probeTimeout;
-    if (const auto parsed = net::parseAddress(address)) {
-        net::Fd fd = net::tcpSocket();
-        const int raw = fd.get();
-        const bool begun = fd && net::beginConnect(raw, *parsed) == net::ConnectStart::started;
-        const std::stop_callback shut(stop_.get_token(), [raw] { net::shutdownBoth(raw); });
-        const auto request =
-            http::formatRequest("GET", "/health/live", address, {{"Connection", "close"}}, {});
-        const bool connected = begun && net::finishConnect(raw, deadline);
-        if (connected && !probeStillAllowed(endpoint, address)) return;
-        if (connected && net::sendAll(raw, request, deadline) == net::IoResult::done) {
-            http::Parser parser(http::Parser::Role::response);
-            std::size_t bytes = 0;
-            for (std::string chunk;
-                 parser.state() != http::Parser::State::complete &&
-                 parser.state() != http::Parser::State::bad && bytes < kMaxProbeResponseBytes;
-                 chunk.clear()) {
-                if (net::receive(raw, chunk, deadline) != net::IoResult::done) break;
-                bytes += chunk.size();
-                parser.feed(chunk);
-                while (parser.state() == http::Parser::State::complete && parser.message().status < 200)
-                    parser.next();
-            }
-            if (parser.state() == http::Parser::State::complete ||
-                parser.finish() == http::Parser::State::complete)
-                status = parser.message().status;
-            // The answer to a probe does not name the server. If it announces a rate limit that is far from
-            // this destination's, another server has the address.
-            if (const auto* load = parser.message().headers.find("Srv-Load"); load && weight > 0) {
-                for (const auto part : http::split(*load, ",")) {
-                    if (part.substr(0, 3) != "x1=") continue;
-                    const auto announced = http::parseDecimal(part.substr(3));
-                    if (announced && *announced > 0)
-                        unexpectedServer = *announced > weight * options_.strangerFactor ||
-                                           *announced < weight / options_.strangerFactor;
-                }
-            }
-        }
     }
+    const auto answer = sendProbe(address, options_.probeTimeout, stop_.get_token(),
+                                  [&] { return probeStillAllowed(endpoint, address); });
+    if (answer.withdrawn) return;
     const std::lock_guard lock(listMutex_);
-    const auto* entry = list_.find(endpoint);
+    entry = list_.find(endpoint);
     // The endpoint was moved or removed meanwhile, so an answer from the old address does not apply to it.
     if (!entry || entry->endpoint.address != address) return;
-    // A server that does not support probes answers 404; the endpoint is then trusted as listed.
-    const bool accepted = (status == 200 || status == 404) && !unexpectedServer;
+    applyProbe(*entry, answer);
+}
+
+/// A server that answers is the expected one only if its report or discovery says so.
+void Roster::applyProbe(const membership::Entry& entry, const ProbeAnswer& answer) {
+    using trust::ServerIdentity;
+    const auto& endpoint = entry.endpoint.name;
+    const auto identity = listedLimits().identify(listedLimit(entry), answer.announcedRateLimit);
+    const bool isExpected =
+        identity == ServerIdentity::proven || (identity == ServerIdentity::unknown && !entry.needsProof);
+    const bool accepted = answer.isAlive() && isExpected;
     probes_.recordAnswer(endpoint, accepted, Steady::now());
     (log::info() << "endpoint list: probe finished")
         .kv("endpoint", endpoint)
-        .kv("address", address)
-        .kv("status", status)
-        .kv("stranger", unexpectedServer ? "yes" : "no")
+        .kv("address", entry.endpoint.address)
+        .kv("status", answer.status)
+        .kv("announced_limit", answer.announcedRateLimit)
+        .kv("identity", name(identity))
+        .kv("stranger", identity == ServerIdentity::foreign ? "yes" : "no")
         .kv("probes", probes_.sent());
     // A probe that reached the server counts against its limit like an attempt, and is taken off the attempts
     // that may be sent. So the destination becomes unconfirmed before its endpoint is published.
-    if (status > 0) {
-        unconfirmed_.insert(entry->endpoint.destination);
+    if (answer.status > 0) {
+        unconfirmed_.insert(entry.endpoint.destination);
         decisions_.updateDestinationHealth(
-            {decisions::DestinationHealth{entry->endpoint.destination, false, {}, 0, true, true}});
+            {decisions::DestinationHealth{entry.endpoint.destination, false, {}, 0, true, true}});
     }
     const auto now = recordClock_.now();
-    std::vector<std::string> touched{endpoint};
-    if (accepted) {
+    const bool saysNothing = answer.isAlive() && answer.announcedRateLimit <= 0;
+    if (entry.needsProof && saysNothing) {
+        list_.expectNoProof(endpoint);
+    } else if (accepted) {
         ++probesAnswered_;
         list_.recordAnswer(endpoint, ConfirmationSource::probe, now);
-    } else if (!unexpectedServer ||
+    } else if (identity != ServerIdentity::foreign ||
                !list_.refuteByAnswer(endpoint, RefutationReason::rateLimitMismatch, now)) {
         return;
     }
-    reassessEndpoints(touched, now);
+    reassessEndpoints({endpoint}, now);
+}
+
+// ---- proof by a report ----
+
+/// Endpoints that get no message before discovery or a report proves them.
+std::size_t Roster::unprovenCount() const {
+    const auto& entries = list_.entries();
+    return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [](const auto& entry) {
+        return entry->needsProof && entry->refutation == RefutationReason::none;
+    }));
+}
+
+/// The rate limit by which a server of the endpoint's destination can be told from others, if the list has
+/// it.
+trust::ListedLimits::Limit Roster::listedLimit(const membership::Entry& entry) const {
+    const bool listed = config_.settings.weights == stoathub::Weights::nominal;
+    return {listed ? entry.endpoint.weight : 0, entry.endpoint.destination};
+}
+
+const trust::ListedLimits& Roster::listedLimits() {
+    if (!listedLimits_) {
+        std::vector<trust::ListedLimits::Limit> limits;
+        for (const auto& entry : list_.entries()) limits.push_back(listedLimit(*entry));
+        listedLimits_.emplace(std::move(limits), options_.strangerFactor);
+    }
+    return *listedLimits_;
+}
+
+/// Whether the answer to a probe could make the endpoint usable.
+bool Roster::probeMayHelp(const membership::Entry& entry) {
+    if (!entry.probeFirst || entry.refutation != RefutationReason::none) return false;
+    if (!entry.needsProof) return true;
+    return !entry.awaitsDiscovery && listedLimits().canProve(listedLimit(entry)) &&
+           trust::firstRequestsFit(options_.membership.trust, entry.endpoint.weight);
 }
 
 // ---- saving ----
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -4,10 +4,12 @@
 // rules are in `membership` and `trust`; this module adds the I/O, one thread and the locks.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <stop_token>
 #include <string>
 #include <unordered_map>
@@ -19,7 +21,9 @@
 #include "decisions/decisions.hpp"
 #include "kept/kept.hpp"
 #include "membership/membership.hpp"
+#include "roster/endpoint_probe.hpp"
 #include "threads/thread.hpp"
+#include "trust/listed_limits.hpp"
 #include "trust/probes.hpp"
 
 namespace laurelhaven::roster {
@@ -35,7 +39,7 @@
     milliseconds outageMemory{300'000};  ///< after a restart, older outages count as unconfirmed only
     bool probesEnabled = true;           ///< probes are sent, provided that the platform permits them
     milliseconds probeTimeout{400};
-    /// A probe that announces a rate limit off by more than this factor reached another destination's server.
+    /// See trust::ListedLimits.
     double strangerFactor = 2;
     membership::Policy membership;
     trust::ProbePolicy probes;
@@ -74,6 +78,9 @@
     void streamLost();
     /// The index of the list, in discovery's numbering.
     std::uint64_t index() const;
+    /// The index after which a watch asks for changes. Before the first list of this process run it lies
+    /// below index(), so that discovery answers at once.
+    std::uint64_t watchAfter() const;
 
     // -- called by the facade with its lock held: these only queue work for the thread --
     void attemptFinished(const decisions::DueAttempt& attempt, const decisions::AttemptResult& result);
@@ -93,6 +100,7 @@
         std::string address;
         double delivered = 0;
         bool unexpectedServer = false;
+        bool turnedAway = false;  // without a reason that the answer would tell
     };
     using Steady = std::chrono::steady_clock;
 
@@ -107,8 +115,14 @@
     void updateUnconfirmed(const std::unordered_set<std::uint64_t>& destinations,
                            std::vector<decisions::DestinationHealth>& changes);
     void applyOutcomes(std::unordered_map<std::string, EndpointOutcomes> outcomes);
+    bool isFirstUseAfterLongGap(std::uint64_t destination);
+    std::size_t unprovenCount() const;
     std::vector<trust::ProbeCandidate> probeCandidates() const;
     void probeEndpoint(const std::string& endpoint);
+    void applyProbe(const membership::Entry& entry, const ProbeAnswer& answer);
+    trust::ListedLimits::Limit listedLimit(const membership::Entry& entry) const;
+    const trust::ListedLimits& listedLimits();
+    bool probeMayHelp(const membership::Entry& entry);
     bool probeStillAllowed(const std::string& endpoint, const std::string& address) const;
     void markUnsaved(const std::string& endpoint);
     void scheduleWrite();
@@ -126,7 +140,11 @@
     std::unique_ptr<kept::SavedEndpointListFile> file_;
     trust::ProbeScheduler probes_;
     std::unordered_set<std::string> awaitingProbe_, unsaved_;
+    std::optional<trust::ListedLimits> listedLimits_;  // of the entries as they are
     std::unordered_set<std::uint64_t> unconfirmed_;
+    std::unordered_set<std::uint64_t> heldDestinations_;  // known at the start, and not usable since
+    Steady::time_point begunAt_{};
+    std::atomic<bool> listReceived_{false};  // from discovery, in this process run
     std::unordered_map<std::uint64_t, kept::DestinationHealth> savedHealth_;  // as on disk
     trust::RecordMs healthKnownUntil_ = 0;
     bool longAbsence_ = false, begun_ = false, rewriteNeeded_ = true;
--- a/src/trust/trust.cpp
+++ b/src/trust/trust.cpp
@@ -101,19 +101,20 @@
         assessment.level = TrustLevel::stale;
         assessment.validUntil = timeOfAge(policy.maxAge);
     }
-    // An endpoint may drain in the seconds in which the sender is down and discovery does not answer, however
-    // young the saved list is. Where probes are permitted, a probe therefore goes first.
-    // A release restarts half of a fleet at once. A probe counts against the rate limit like an attempt, so
-    // probes of every sender to every endpoint would use up the limits. Where they would not fit, the first
-    // message goes without a probe: it is rejected where the probe would be.
-    const bool probesFit =
-        evidence.rateLimit <= 0 || policy.senders / 2 <= evidence.rateLimit * toSeconds(policy.probeSpread);
-    assessment.probeFirst =
-        assessment.level == TrustLevel::stale ||
-        (policy.mayProbe && probesFit && !evidence.listedThisRun && !evidence.answeredThisRun);
+    // An endpoint may drain, and its address may pass to another destination, in the seconds in which the
+    // sender is down and discovery does not answer, however young the saved list is. What discovery has
+    // published by then is binding from the start of the process.
+    assessment.needsProof = !evidence.listedThisRun && !evidence.answeredThisRun;
+    assessment.probeFirst = assessment.needsProof || assessment.level == TrustLevel::stale;
     return assessment;
 }
 
+// A release restarts half of a fleet at once. A probe counts against the rate limit like an attempt, so
+// probes of every sender to every endpoint would use up the limits.
+bool firstRequestsFit(const Policy& policy, double rateLimit) {
+    return rateLimit <= 0 || policy.senders / 2 <= rateLimit * toSeconds(policy.probeSpread);
+}
+
 std::string formatDuration(milliseconds time) {
     const auto ms = time.count();
     if (ms < 1000) return std::to_string(ms) + " ms";
@@ -140,17 +141,18 @@
     const std::string last = std::string("last confirmed by ") + name(evidence.confirmedBy) + " " +
                              formatDuration(assessment.age) + " ago (figure " + confidence +
                              " at a half-life of " + formatDuration(halfLife) + ")";
-    const std::string first = ", once a probe has answered in the life of this process";
+    const std::string first =
+        ", once discovery has named it, or its report has proved it, in the life of this process";
     switch (assessment.level) {
         case TrustLevel::confirmed:
             if (evidence.listedNow)
                 return "confirmed: discovery names it now; it gets messages at the usual pace";
             return "confirmed: " + last + "; it gets messages at the usual pace" +
-                   (assessment.probeFirst ? first : "");
+                   (assessment.needsProof ? first : "");
         case TrustLevel::ageing:
             return "ageing: " + last + "; it gets messages at a pace that its deliveries open" +
                    (assessment.oneAtATime ? ", one at a time until the first" : "") +
-                   (assessment.probeFirst ? first : "") + "; discovery would confirm it";
+                   (assessment.needsProof ? first : "") + "; discovery would confirm it";
         case TrustLevel::stale:
             return "stale: " + last + "; it gets no message before " +
                    (policy.mayProbe ? "a probe answers or " : "") + "discovery names it" +
--- a/src/trust/trust.hpp
+++ b/src/trust/trust.hpp
@@ -62,17 +62,21 @@
     RecordMs confirmedAt = 0;
     ConfirmationSource confirmedBy = ConfirmationSource::configuration;
     RefutationReason refutation = RefutationReason::none;
-    bool listedNow = false;        ///< the watch on discovery is open, and discovery lists the endpoint
-    bool answeredThisRun = false;  ///< delivered, or answered a probe, since this process started
-    bool listedThisRun = false;    ///< listed by discovery since this process started
-    double rateLimit = 0;          ///< announced requests per second of its destination; 0: unknown
+    bool listedNow = false;  ///< the watch on discovery is open, and discovery lists the endpoint
+    /// Delivered, or answered a probe as the expected server, since this process started.
+    bool answeredThisRun = false;
+    bool listedThisRun = false;  ///< listed by discovery since this process started
+    double rateLimit = 0;        ///< announced requests per second of its destination; 0: unknown
 };
 
 struct TrustAssessment {
     TrustLevel level = TrustLevel::stale;
-    double confidence = 0;    ///< probability that the entry is still right, in [0, 1]
-    milliseconds age{};       ///< since the confirmation; 0 while listed; at least `configuredAge` if undated
-    bool probeFirst = false;  ///< a probe must answer before the first message, whatever the level
+    double confidence = 0;  ///< probability that the entry is still right, in [0, 1]
+    milliseconds age{};     ///< since the confirmation; 0 while listed; at least `configuredAge` if undated
+    /// Neither discovery nor an answer has shown in this process run that the address still belongs to the
+    /// endpoint. It gets no message, whatever the level, and the answer to a probe alone changes nothing.
+    bool needsProof = false;
+    bool probeFirst = false;  ///< no message before that proof, or before the answer to a probe
     bool oneAtATime = false;  ///< the first message stands in for a probe, so attempts go out one by one
     RecordMs validUntil = 0;  ///< when the passing of time alone changes the level; 0: never
 };
@@ -97,6 +101,9 @@
     double entrySeconds_ = 0, changes_ = 0;
 };
 
+/// Whether the first requests of all senders that restart together are within the rate limit.
+bool firstRequestsFit(const Policy& policy, double rateLimit);
+
 /// Assesses an entry at the time `now`. Where the clock was set back and a confirmation lies in the future,
 /// the age is unknown, and the entry is treated as if it were as old as one of the configuration.
 TrustAssessment assess(const Evidence& evidence, const Policy& policy, milliseconds halfLife, RecordMs now);
--- a/tests/laurelhaven/program.hpp
+++ b/tests/laurelhaven/program.hpp
@@ -124,13 +124,23 @@
 /// The sender's process.
 class Program {
   public:
+    /// A platform whose discovery was told nothing names these entries: none is used before.
     Program(const std::string& folder, Platform& platform, const std::string& entries, int port = freePort(),
             int sockets = 1024)
         : port_(port), folder_(folder) {
+        if (platform.watch.empty()) platform.watch = list(1, true, entries) + "\n";
         configure(configuration(local(port), platform.stub.at(), entries, settings(), sockets));
         std::filesystem::create_directories(folder + "/state");
         start();
     }
+    /// With a configuration of its own, made for the address on which it is to listen.
+    using ConfigurationFor = std::function<std::string(const std::string& listen)>;
+    Program(const std::string& folder, const ConfigurationFor& configurationFor)
+        : port_(freePort()), folder_(folder) {
+        configure(configurationFor(local(port_)));
+        std::filesystem::create_directories(folder + "/state");
+        start();
+    }
     ~Program() {
         if (pid_ > 0) end(SIGKILL);
     }
--- a/tests/roster/drain_memory_test.cpp
+++ b/tests/roster/drain_memory_test.cpp
@@ -1,5 +1,5 @@
-// A drain that discovery has reported survives a kill right after it, also if discovery is down at the
-// restart.
+// A drain that discovery has reported survives a kill right after it, also if discovery has nothing new to
+// say at the restart.
 #include <gtest/gtest.h>
 
 #include <set>
@@ -62,7 +62,9 @@
     rosterAfter.begin();
     facadeAfter.submit(messageFor(7));
     ASSERT_EQ(facadeAfter.submit(messageFor(8)).kind, decisions::SubmissionResult::Kind::accepted);
-    // Both destinations are unconfirmed at first, so the attempt may be due a little later.
+    EXPECT_EQ(facadeAfter.attemptsInFlight(), 0u) << "before anything proves an endpoint";
+    // Changes relative to the index on disk confirm all endpoints but those whose end is on disk.
+    rosterAfter.applyUpdate({11, false, {endpoint("b", 8, listing::Status::serving)}});
     threads::Thread ticker("tick", [&] {
         while (facadeAfter.tick()) {
         }
