Let a message that reached no endpoint pay nothing for refused connects, nor end by them

Cause: scheduleRetry() charged the retry bucket for the attempt behind a refused connect, and sendReady() ended what it could not pay for (kBucketCapacityTokens pays for ten). A connect that is refused is no call by PROTOCOL, and the bucket pays for retries only. Three more ends of the same kind stood behind it: refused connects counted against the limit on attempts, the backoff grew past the deadline (retry_too_late), and in a large fleet such a message ended as one that holds up its order.

What bounds a backlog is the rate of the outage. A message that has had a call pays as before.

--- a/src/decisions/decisions.cpp
+++ b/src/decisions/decisions.cpp
@@ -130,7 +130,8 @@
 }
 
 rules::Attempt Decisions::rulesAttempt(const DueAttempt& due) const {
-    return {due.id, due.endpoint, due.address, due.destination, due.attempt + 1, due.tryUntil, due.startBy};
+    const int number = due.attempt + 1 - due.failedConnects;
+    return {due.id, due.endpoint, due.address, due.destination, number, due.tryUntil, due.startBy};
 }
 
 bool Decisions::isCurrent(const HeldMessage& held, const DueAttempt& due) const {
@@ -369,6 +370,7 @@
     held.inFlight = false;
     held.lastStatus = result.status;
     if (result.status == AttemptStatus::unsent) --held.attempts;
+    if (result.status == AttemptStatus::noConnection) ++held.failedConnects;
     const bool finished = nothingOwed(result);
     const bool endOwed = result.fate == rules::MessageFate::endOwed;
     // An answer may arrive while the process stops. Without a record of it the next run would repeat a
@@ -706,7 +708,7 @@
             const auto endpoint = endpoints_.find(send->endpoint);
             dueAttempts_.push_back({send->id, held.submission.key, held.submission.body, send->endpoint,
                                     endpoint == endpoints_.end() ? std::string() : endpoint->second.address,
-                                    held.submission.destination, held.attempts++, now,
+                                    held.submission.destination, held.attempts++, held.failedConnects, now,
                                     steadyTime(send->attemptDeadline), steadyTime(send->sendBy),
                                     held.cancelSource.get_token(), held.mayBeRepeated});
             attemptDue_.notify_one();
--- a/src/decisions/decisions.hpp
+++ b/src/decisions/decisions.hpp
@@ -59,7 +59,8 @@
     std::shared_ptr<const std::string> body;
     std::string endpoint, address;
     std::uint64_t destination = 0;
-    int attempt = 0;  ///< counted from 0 for each message
+    int attempt = 0;         ///< counted from 0 for each message
+    int failedConnects = 0;  ///< of the attempts before it, those that never reached an endpoint
     TimePoint issuedAt;
     TimePoint tryUntil;           ///< the attempt is abandoned then
     TimePoint startBy;            ///< the attempt must not begin after this
@@ -214,8 +215,9 @@
   private:
     struct HeldMessage {
         Submission submission;
-        int attempts = 0;       // as the decision module counts them
-        bool inFlight = false;  // an attempt is due or with a worker
+        int attempts = 0;        // as the decision module counts them
+        int failedConnects = 0;  // of these, attempts that never reached an endpoint
+        bool inFlight = false;   // an attempt is due or with a worker
         /// The attempt that has begun: it is on record and may have been sent.
         std::optional<store::AttemptNumber> openAttempt;
         bool ended = false;
--- a/src/rules/send_rules.hpp
+++ b/src/rules/send_rules.hpp
@@ -41,7 +41,7 @@
     std::string message;  ///< id of the message
     std::string endpoint, address;
     std::uint64_t destination = 0;
-    int number = 0;             ///< DueAttempt::attempt + 1, and used again after an unsent attempt;
+    int number = 0;             ///< from 1, without failed connects; used again after an unsent attempt, and
                                 ///< not a store::AttemptNumber
     TimePoint attemptDeadline;  ///< when the attempt is abandoned: at the deadline of the message or earlier
     TimePoint keyWindowEnd;     ///< end of the key window if this is a repeat by key, else TimePoint::max()
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -245,6 +245,7 @@
         finishAttempt(message);
         if (outcome.result == Result::unsent) return revertUnsent(sequence, message, endpoint);
         message.consecutiveUnsent = 0;
+        if (outcome.result == Result::connectFailed) ++message.failedConnects;
         if (outcome.result != Result::notForwarded) message.paidTokens = 0;
         if (ran || outcome.result == Result::rejected) message.untriedSinceRestart = false;
         observeOutcome(endpoint, outcome, reusedConnection);
@@ -387,18 +388,12 @@
             (result == Result::rejected || result == Result::connectFailed || result == Result::notForwarded);
         const bool mayRetry = neverRan || message.effect != Effect::unsafe;
         if (!mayRetry) return giveFinalAnswer(sequence, EndReason::notRepeatable);
-        if (message.attempts >= settings_.maxAttempts)
-            return giveFinalAnswer(sequence, EndReason::attemptsExhausted);
-        // Messages that could not be delivered in time keep retrying, take capacity from fresh messages with
-        // a higher value, and keep the load high long after its cause is gone. So in a large fleet a message
-        // past its delivery target has a longer backoff, and ends instead of holding up others with its order
-        // key. The cost: it may miss a destination that has just recovered.
-        const bool pastTarget = settings_.senders > kSmallFleetSenders && now_ > message.deliveryTargetAt;
-        if (pastTarget && message.orderKey && orderQueues_.at(*message.orderKey).sequences.size() > 1)
+        if (hasNoAttemptLeft(message, result)) return giveFinalAnswer(sequence, EndReason::attemptsExhausted);
+        if (message.countedAttempts() == 0) return scheduleReconnect(sequence, message);
+        if (isPastTarget(message) && message.orderKey &&
+            orderQueues_.at(*message.orderKey).sequences.size() > 1)
             return giveFinalAnswer(sequence, EndReason::holdsUpOrder);
-        const Seconds range =
-            kBackoffBaseSeconds * std::pow(2.0, message.attempts) * (pastTarget ? kLateBackoffFactor : 1);
-        message.notBefore = now_ + range * backoffFraction();
+        message.notBefore = now_ + backoffRange(message) * backoffFraction();
         message.pendingTokens = result == Result::notForwarded ? 0
                                 : result == Result::rejected   ? kRejectedRetryCostTokens
                                                                : kRetryCostTokens;
@@ -406,6 +401,39 @@
             giveFinalAnswer(sequence, EndReason::retryTooLate);
     }
 
+    // An intermediary that does not forward attempts beyond the limit counts failed connects as well.
+    bool hasNoAttemptLeft(const Message& message, Result result) const {
+        return message.countedAttempts() >= settings_.maxAttempts ||
+               (result == Result::notForwarded && message.attempts >= settings_.maxAttempts);
+    }
+
+    // A message whose connects have all failed has not been tried, so its next attempt is still its first: no
+    // tokens are paid for it, and it is not ended while another connect fits before its deadline. What a
+    // whole backlog of such messages may do to a destination is limited by the rate of an outage, and by a
+    // backoff that grows to at most kMaxReconnectBackoffSeconds, so that none sleeps long after the
+    // destination is back.
+    void scheduleReconnect(std::uint64_t sequence, Message& message) {
+        const Seconds range = std::min(backoffRange(message), kMaxReconnectBackoffSeconds);
+        const Seconds latest =
+            message.deadline - std::max(routeOf(message).latency, kMinAttemptSeconds) - kAnswerMarginSeconds;
+        if (latest < now_ + kBackoffMinFraction * kBackoffBaseSeconds)
+            return giveFinalAnswer(sequence, EndReason::retryTooLate);
+        message.notBefore = std::min(now_ + range * backoffFraction(), latest);
+        message.pendingTokens = 0;
+    }
+
+    // Messages that could not be delivered in time keep retrying, take capacity from fresh messages with a
+    // higher value, and keep the load high long after its cause is gone. So in a large fleet a message past
+    // its delivery target has a longer backoff, and ends instead of holding up others with its order key. The
+    // cost: it may miss a destination that has just recovered.
+    bool isPastTarget(const Message& message) const {
+        return settings_.senders > kSmallFleetSenders && now_ > message.deliveryTargetAt;
+    }
+    Seconds backoffRange(const Message& message) const {
+        return kBackoffBaseSeconds * std::pow(2.0, message.attempts) *
+               (isPastTarget(message) ? kLateBackoffFactor : 1);
+    }
+
     // ---- final answers ----
     // Whether the client may submit the message again without the risk of a second effect.
     bool isSafeToResubmit(const Message& message) const {
@@ -473,7 +501,7 @@
         for (const auto& [sequence, message] : messages_) {
             if (message.ended || message.hasActiveAttempt()) continue;
             // Nothing is sent beyond the attempt limit or the key window, so such a message ends at once.
-            const bool attemptsExhausted = message.attempts >= settings_.maxAttempts;
+            const bool attemptsExhausted = message.countedAttempts() >= settings_.maxAttempts;
             const Seconds last =
                 attemptsExhausted ? message.acceptedAt : std::min(lastAllowedSend(message), message.deadline);
             const Seconds due = last - kAnswerMarginSeconds - kMinTimerSeconds;
@@ -606,7 +634,7 @@
                  (messageClass.keyScope == KeyScope::zone && endpoint.zone != message.keyZone)))
                 return false;
         }
-        if (message.attempts >= settings_.maxAttempts || now_ >= message.deadline) return false;
+        if (message.countedAttempts() >= settings_.maxAttempts || now_ >= message.deadline) return false;
         if (const Seconds at = rateControl_.unconfirmedAttemptAt(route, now_); at > now_) return checkAt(at);
         const double windowLimit =
             route.isDegraded() ? std::min(route.window, maxWindow() / 2.0) : route.window;
--- a/src/sender/state.hpp
+++ b/src/sender/state.hpp
@@ -114,6 +114,7 @@
     double pendingTokens = 0;  // to be paid before the next attempt
     double paidTokens = 0;     // paid for an attempt that has not been sent yet
     int attempts = 0;          // sent so far
+    int failedConnects = 0;    // of these, attempts that never reached an endpoint
     int consecutiveUnsent = 0;
     bool mayHaveRun = false;
     Seconds keyWindowStart = 0;        // when the first attempt that may have run was sent
@@ -123,6 +124,8 @@
     bool cancelRequested = false;
     std::uint64_t attemptId = 0;  // of the attempt in flight; 0: none
     bool hasActiveAttempt() const { return attemptId != 0; }
+    /// Attempts that reached an endpoint, or are in flight. Only these count against the attempt limit.
+    int countedAttempts() const { return attempts - failedConnects; }
 };
 
 }  // namespace stoathub
--- a/src/sender_constants.hpp
+++ b/src/sender_constants.hpp
@@ -20,7 +20,9 @@
 inline constexpr Seconds kBackoffBaseSeconds = 0.2;
 // ... and is drawn at random between this fraction of that and the whole: never an immediate retry.
 inline constexpr double kBackoffMinFraction = 0.25;
-inline constexpr double kLateBackoffFactor = 4;       // on the backoff past the delivery target
+inline constexpr double kLateBackoffFactor = 4;  // on the backoff past the delivery target
+// Longest backoff of a message whose connects have all failed.
+inline constexpr Seconds kMaxReconnectBackoffSeconds = 4;
 inline constexpr Seconds kUnsentPauseSeconds = 0.05;  // before the next attempt after one that was not sent,
 inline constexpr int kMaxUnsentDoublings = 4;         // doubled each time, up to this many times
 
