Let the first attempt behind a hold go at once in a small fleet

Cause: a destination that is held while discovery is silent is unconfirmed when the hold ends, and its first attempt waited for a random part of a token. At the rate of an outage that is some 3 s for a limit of 3/s and two senders, beyond the 3 s behind the proof that are the target. The random part keeps large fleets from making their first attempts together; those of up to eight senders are within what a cold destination takes (N + 3 root N + 3 calls in 2 s).

Change: the random part in fleets of more than eight senders only, as where an outage is suspected.

--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -141,8 +141,9 @@
         if (health.sinceRecovery)
             route.recoveredAt = std::max(route.recoveredAt, now_ - toSeconds(*health.sinceRecovery));
         if (health.unconfirmed && !route.unconfirmed) {
-            // Random, so that senders that restart together do not make their first attempts together.
-            const bool spread = !health.probed && settings_.senders > 1;
+            // Random in a large fleet, so that senders that restart together do not make their first attempts
+            // together. Those of a few are within what a cold destination takes.
+            const bool spread = !health.probed && settings_.senders > kSmallFleetSenders;
             rateControl_.limitUntilConfirmed(route, spread ? random_.uniform() : 1, now_);
         }
         if (health.probed) route.unconfirmedTokens -= 1;
--- a/tests/laurelhaven/program.hpp
+++ b/tests/laurelhaven/program.hpp
@@ -95,8 +95,9 @@
 
 /// The platform: keeps the notices it gets; its watch says what it is told to, once, and stays open.
 struct Platform {
-    std::string watch;          // "" for a discovery that is silent
-    std::atomic<int> asked{0};  // for the list
+    std::string watch;                 // "" for a discovery that is silent
+    std::atomic<int> asked{0};         // for the list
+    std::function<void()> beforeTold;  // called before a watch is answered
     std::mutex mutex;
     std::multiset<std::string> notices;
     std::atomic<int> deaf{0};  // so many requests with notices go unanswered
@@ -104,6 +105,7 @@
         if (m.target != "/v1/notices") {
             ++asked;
             if (watch.empty()) return std::string();
+            if (beforeTold) beforeTold();
             char size[24];
             std::snprintf(size, sizeof size, "%zx\r\n", watch.size());
             return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + watch) + "\r\n";
--- a/tests/program/silent_discovery_test.cpp
+++ b/tests/program/silent_discovery_test.cpp
@@ -437,6 +437,22 @@
     for (int i = 100; i < 160; ++i) EXPECT_TRUE(endpoint.wasAsked("m" + std::to_string(i))) << i;
 }
 
+// A small limit allows an attempt every few seconds until the first delivery: the first one must not wait for
+// that.
+TEST(SilentDiscovery, ADestinationWithASmallLimitIsServedSoonAfterALongHold) {
+    World world(Effect::keyed, false, 3, 200);
+    world.submit(kSubject, 1);
+    ASSERT_TRUE(within(milliseconds(8000), [&] { return world.nothingHeld(); }));
+    world.program->end(SIGKILL);
+    world.agent.setSilent(true);
+    world.program->start();
+    world.submit(kSubject, 3);
+    std::this_thread::sleep_for(milliseconds(2500));  // its length is the case
+    EXPECT_EQ(world.known.delivered(), 1);
+    world.agent.setSilent(false);
+    EXPECT_TRUE(within(kServiceAfterProof, [&] { return world.known.delivered() == 4; }));
+}
+
 // Where nothing has changed, discovery says so at once when it is asked for what it has told already. Until
 // it does, nothing is sent.
 TEST(SilentDiscovery, AnUnchangedListIsProvenWithoutAHeartbeat) {
