--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
 SOURCES = $(wildcard src/*.cpp src/*.hpp src/*/*.cpp src/*/*.hpp lab/*.cpp lab/*/*.cpp lab/*/*.hpp \
-    tests/*/*_test.cpp tests/laurelhaven/*.hpp tests/faults/*.hpp tests/program/*.hpp)
+    tests/*/*_test.cpp tests/laurelhaven/*.hpp tests/faults/*.hpp tests/program/*.hpp tests/sender/*.hpp)
 # cppcheck 2.10 reads no literals such as 1ms, which the GoogleTest suites use.
 CHECKED = $(wildcard src/*/*.cpp src/main.cpp lab/*.cpp lab/*/*.cpp tests/laurelhaven/*.cpp)
 
