Wake the thread that saves the list where another thread's write has failed

Cause: a failed write of Roster::merge(), on the watch's thread, set the time of its repeat and woke nobody. If the roster's thread was waiting already, it did so for what was due before: up to a second here, up to 10 s with nothing else due. The test passed as its update mostly came before the thread's first wait.

Change: a failed write wakes the thread. The test lets the thread wait before the write fails, which forces the bad order.

--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -523,6 +523,14 @@
     if (writeAt_ == Steady::time_point{} || at < writeAt_) writeAt_ = at;
 }
 
+/// The thread may be waiting for something later, and the write that failed may have been another thread's.
+void Roster::retryWriteSoon() {
+    writeAt_ = Steady::now() + kWriteRetryPause;
+    const std::lock_guard lock(outcomesMutex_);
+    urgent_ = true;
+    wake_.notify_all();
+}
+
 /// The health of the destinations for which it differs from what is on disk by more than noise. From then on
 /// it counts as saved.
 std::vector<kept::DestinationHealth> Roster::changedDestinationHealth(RecordMs now) {
@@ -570,7 +578,7 @@
     writeAt_ = {};
     lastWriteAt_ = Steady::now();
     if (!recordClock_.persist()) {  // without it a later run could not interpret the times
-        writeAt_ = Steady::now() + kWriteRetryPause;
+        retryWriteSoon();
         return;
     }
     std::string records;
@@ -608,7 +616,7 @@
     const bool written = file_->replace(records, listState, now, dropped);
     if (!written) {
         rewriteNeeded_ = true;
-        writeAt_ = Steady::now() + kWriteRetryPause;  // a drain reported meanwhile must not be lost
+        retryWriteSoon();  // a drain reported meanwhile must not be lost
         return;
     }
     if (dropped > 0)
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -126,6 +126,7 @@
     bool probeStillAllowed(const std::string& endpoint, const std::string& address) const;
     void markUnsaved(const std::string& endpoint);
     void scheduleWrite();
+    void retryWriteSoon();
     void write(trust::RecordMs now);
     std::vector<kept::DestinationHealth> changedDestinationHealth(trust::RecordMs now);
     void rewriteFile(trust::RecordMs now);
--- a/tests/roster/drain_memory_test.cpp
+++ b/tests/roster/drain_memory_test.cpp
@@ -115,6 +115,8 @@
 // for that.
 TEST_F(DrainMemoryOnAFailingDisk, AFailedWriteIsRepeatedSoonWhileDeliveriesAreCollected) {
     const auto serving = endpoint("b", 8, listing::Status::serving);
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(20));  // by then the thread waits for what is due later
     faults::writeFailure.arm(ENOSPC);
     roster_.applyUpdate({10, true, {serving}});
     ASSERT_FALSE(written());
