Give each soak an address block that it holds for as long as it plays

Cause: a soak took its addresses from its process id modulo 128, so two soaks at once could have the same. Traced by two soaks whose ids are equal modulo 128: the second one's senders end with "cannot bind 127.143.1.1:8443: Address already in use".

Change: a soak listens on one port of its block, and takes the next block where another one does.

--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -10,8 +10,11 @@
 #include <map>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
+#include <system_error>
 #include <thread>
 
+#include "net/socket.hpp"
 #include "rig/cpu_limiter.hpp"
 #include "soak/clients.hpp"
 #include "soak/crowd.hpp"
@@ -39,10 +42,30 @@
 constexpr std::size_t kHoarders = 300;
 constexpr milliseconds kToldBeforeTakeover{400};
 
-/// Addresses of this soak's own: ports that it gives up for a while are taken by nobody else.
-std::string host(std::size_t part = 0) {
-    return "127." + std::to_string(64 + getpid() % 128) + "." + std::to_string(part) + ".1";
-}
+/// Loopback addresses of this soak's own: ports that it gives up for a while are taken by nobody else. It
+/// holds a port of its block for as long as it lives, so that no other soak takes the same one.
+class AddressBlock {
+  public:
+    AddressBlock() {
+        for (int tries = 0; !reservation_ && tries < kBlocks; ++tries) reserve((getpid() + tries) % kBlocks);
+        if (!reservation_) throw std::runtime_error("all address blocks are taken by other soaks");
+    }
+    std::string host(std::size_t part = 0) const {
+        return "127." + std::to_string(kFirst + block_) + "." + std::to_string(part) + ".1";
+    }
+
+  private:
+    static constexpr int kFirst = 64, kBlocks = 128;
+    void reserve(int block) {
+        block_ = block;
+        try {
+            reservation_ = net::listenOn(*net::parseAddress(host() + ":8442"), 1);
+        } catch (const std::system_error&) {  // another soak has it
+        }
+    }
+    int block_ = 0;
+    net::Fd reservation_;
+};
 
 /// A crowd takes more descriptors than a shell grants at first.
 void takeAllDescriptors() {
@@ -86,7 +109,7 @@
     // ---- set-up ----
 
     std::unique_ptr<Discovery> discoveryOf(std::size_t sender) {
-        auto made = std::make_unique<Discovery>(host() + ":0");
+        auto made = std::make_unique<Discovery>(addresses_.host() + ":0");
         for (const auto& e : endpoints_) made->tell(e);
         made->onTold = [this, sender](const listing::Endpoint& e) {
             if (e.status != listing::Status::serving) oracle_.toldEnd(sender, e.name, Steady::now());
@@ -113,7 +136,7 @@
         plan.program = options_.program;
         plan.logLevel = options_.logLevel;
         plan.folder = options_.folder + "/" + plan.name;
-        plan.listen = host(sender + 1) + ":8443";
+        plan.listen = addresses_.host(sender + 1) + ":8443";
         plan.discovery = discovery.address();
         plan.known = discovery.whole();
         plan.cores = options_.cores;
@@ -140,8 +163,8 @@
         slowStart.warmUp = warmUp();
         if (playsSlowStart()) slowStart.longestCall = kSlowStartCall;
         for (std::size_t i = 0; i < kPartners; ++i) {
-            partners_.push_back(
-                std::make_unique<Partner>(i, host(), switches_, oracle_, slowStart, options_.seed * 100 + i));
+            partners_.push_back(std::make_unique<Partner>(i, addresses_.host(), switches_, oracle_, slowStart,
+                                                          options_.seed * 100 + i));
             for (std::size_t k = 0; k < kEndpointsEach; ++k) endpoints_.push_back(partners_[i]->open());
         }
         const auto killAfterTerm = std::max(kKillAfterTerm, options_.tolerance.stop + kKillAfterStopRule);
@@ -359,6 +382,7 @@
     }
 
     Options options_;
+    AddressBlock addresses_;
     Oracle oracle_;
     Report report_;
     Switches switches_;
