Read lists of discovery up to 2 MB, as nothing is sent before the first one

Before, the sender went on with its saved list and missed what was in this one; now an address needs discovery's word, so an unread list stops it.

Change: discovery.longest-line is 2 MB by default: 3,200 endpoints at the 500 bytes each that lists are reckoned with are 1.6 MB.

--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -54,7 +54,7 @@
 
 /// The settings section "discovery"; the last two come from the platform.
 struct Options {
-    std::size_t longestLine = 1000000;  ///< maximum bytes of one object of the stream, over all its lines
+    std::size_t longestLine = 2000000;  ///< maximum bytes of one object of the stream, over all its lines
     std::chrono::milliseconds pauseLeast{50};    ///< minimum pause before a reconnect
     std::chrono::milliseconds pauseMost{1'000};  ///< maximum pause, unless discovery refuses requests
     double fleetRate = 20;                       ///< target requests per second of all senders together
