Let the table of ids kill a sender only once the rejection is on record

What was seen: IdTable, UnsafeHeldOtherOverAKill, once in a sanitized run beside a build: 0 deliveries and a notice, where 1 delivery and none were expected. Cause, by the log: the cell waited until its endpoint had written the 429, and the kill came before the sender had read it. The attempt was open on record, so an unsafe message may have run and ended as failed, which is right ("a call that was out when the process ended may have run").

Change: the cell waits until the sender has counted the rejection, which it does behind its record; the check is as it was.

--- a/tests/program/id_comes_again_test.cpp
+++ b/tests/program/id_comes_again_test.cpp
@@ -103,7 +103,9 @@
             case Moment::held:
                 endpoint_.reply("m", {wait("1.5")});
                 ASSERT_EQ(program_->status(request()), 202);
-                ASSERT_TRUE(within(kSettles, [&] { return endpoint_.repliedAt("m").size() == 1; }));
+                // Once the rejection is on record: a kill before that leaves an attempt that may have run.
+                ASSERT_TRUE(within(
+                    kSettles, [&] { return metric(*program_, "calls_total{ending=\"turned_away\"}") == 1; }));
                 return;
             case Moment::inFlight:
                 endpoint_.reply("m", {heldBack});
