Let a cell of the silent restarts kill a sender with no attempt in flight

Cause: in the cells in which discovery spoke before it fell silent, the kill right behind the backlog met two unsafe attempts in flight; those may have run and end as failed, which is right. The checks stay; the cell kills once nothing is held, or once its time before the silence has passed.

--- a/tests/program/silent_discovery_test.cpp
+++ b/tests/program/silent_discovery_test.cpp
@@ -347,6 +347,9 @@
             case Restart::killedTwice:
                 restart(SIGKILL);
                 world_.submit(kSubject, kBacklog);
+                // Where discovery spoke before it fell silent: an unsafe message in flight would end as
+                // failed.
+                within(kBeforeSilence, [&] { return world_.nothingHeld(); });
                 world_.program->end(SIGKILL);
                 world_.program->start();
         }
