Set the size of the fleet in tests by one function

Need: three tests wrote the replacement of "balancers" in the settings again. Change: inFleetOf() beside settingsFor(); the same settings text as before, no check changed.

--- a/tests/program/cold_return_test.cpp
+++ b/tests/program/cold_return_test.cpp
@@ -46,9 +46,7 @@
 
     ColdReturnTable() {
         log::setLevel(log::Level::off);
-        auto text = settingsFor(Effect::keyed, 54, 400);
-        const std::string usual = R"("balancers":2)";
-        text.replace(text.find(usual), usual.size(), R"("balancers":)" + std::to_string(kSenders));
+        const auto text = inFleetOf(kSenders, settingsFor(Effect::keyed, 54, 400));
         program_ = startWithSettings(folder_.path, platform_, platform_.stub.at(),
                                      entry("a", endpoint_.address(), 7), text);
     }
--- a/tests/program/message_table.hpp
+++ b/tests/program/message_table.hpp
@@ -26,6 +26,13 @@
     return text.replace(text.find(usual), usual.size(), wanted);
 }
 
+/// The same settings for one of so many senders.
+inline std::string inFleetOf(int senders, std::string settingsText) {
+    const std::string usual = R"("balancers":2)";
+    return settingsText.replace(settingsText.find(usual), usual.size(),
+                                R"("balancers":)" + std::to_string(senders));
+}
+
 /// The request that hands a message for this destination in.
 inline std::string requestFor(const std::string& id, std::uint64_t destination, int deadlineMs,
                               const std::string& body = "body") {
--- a/tests/program/silent_discovery_test.cpp
+++ b/tests/program/silent_discovery_test.cpp
@@ -414,9 +414,7 @@
     DiscoveryAgent agent;
     FailingEndpoint endpoint;
     agent.set({"a", endpoint.address(), kSubject, kCapacity});
-    auto text = settingsFor(Effect::keyed, 54, 400);
-    const std::string usual = R"("balancers":2)";
-    text.replace(text.find(usual), usual.size(), R"("balancers":)" + std::to_string(kSenders));
+    const auto text = inFleetOf(kSenders, settingsFor(Effect::keyed, 54, 400));
     Program program(folder.path, [&](const std::string& listen) {
         return configuration(listen, agent.address(), agent.entries(), text);
     });
--- a/tests/program/untried_messages_test.cpp
+++ b/tests/program/untried_messages_test.cpp
@@ -65,9 +65,7 @@
         log::setLevel(log::Level::off);
         agent_.set({"a", struck_.address(), 7, kCapacity});
         agent_.set({"b", well_.address(), 8, kCapacity});
-        auto text = settingsFor(GetParam().effect, 54, 400);
-        const std::string usual = R"("balancers":2)";
-        text.replace(text.find(usual), usual.size(), R"("balancers":)" + std::to_string(kSenders));
+        const auto text = inFleetOf(kSenders, settingsFor(GetParam().effect, 54, 400));
         program_ = std::make_unique<Program>(folder_.path, [&](const std::string& listen) {
             return configuration(listen, agent_.address(), agent_.entries(), text);
         });
